--- /dev/null
+++ b/core/fakes/objects.go
@@ -0,0 +1,87 @@
+package fakes
+
+import (
+	"context"
+	"sync"
+
+	"azurering/core"
+	"azurering/core/codes"
+)
+
+// Objects is an in-memory core.Objects. The zero value is ready to use. It
+// is safe for concurrent use.
+type Objects struct {
+	mu     sync.Mutex
+	bodies map[string][]byte
+	fault  Fault
+}
+
+// SetFault sets the fault of all later calls.
+func (o *Objects) SetFault(f Fault) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.fault = f
+}
+
+// Put implements core.Objects.
+func (o *Objects) Put(_ context.Context, name string, body []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.fault == FaultDown {
+		return codes.New(codes.StoreDown, "fakes: object store is down")
+	}
+	if o.bodies == nil {
+		o.bodies = make(map[string][]byte)
+	}
+	o.bodies[name] = append([]byte(nil), body...)
+	if o.fault == FaultLostAck {
+		return codes.New(codes.StoreUnknown, "fakes: answer of the put was lost")
+	}
+	return nil
+}
+
+// Get implements core.Objects.
+func (o *Objects) Get(_ context.Context, name string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.fault == FaultDown {
+		return nil, codes.New(codes.StoreDown, "fakes: object store is down")
+	}
+	body, ok := o.bodies[name]
+	if !ok {
+		return nil, codes.New(codes.StoreAbsent, "fakes: no object %s", name)
+	}
+	return append([]byte(nil), body...), nil
+}
+
+// Roster is a core.Roster that answers a fixed list. It is safe for
+// concurrent use.
+type Roster struct {
+	mu    sync.Mutex
+	hosts []core.Host
+	fault Fault
+}
+
+// Set replaces the list.
+func (r *Roster) Set(hosts []core.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts = append([]core.Host(nil), hosts...)
+}
+
+// SetFault sets the fault of all later calls.
+func (r *Roster) SetFault(f Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+}
+
+// Hosts implements core.Roster.
+func (r *Roster) Hosts(context.Context) ([]core.Host, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fault == FaultDown {
+		return nil, codes.New(codes.StoreDown, "fakes: host list is down")
+	}
+	return append([]core.Host(nil), r.hosts...), nil
+}
