--- /dev/null
+++ b/core/sheet/change.go
@@ -0,0 +1,160 @@
+package sheet
+
+import (
+	"slices"
+
+	"azurering/core"
+	"azurering/core/codes"
+)
+
+// Apply folds one change into a sheet and returns the new sheet. The given
+// sheet and its slices are not modified. A change that does not fit the
+// sheet is an error with ChangeInvalid.
+func Apply(s core.Sheet, ch core.Change) (core.Sheet, error) {
+	switch ch.Kind {
+	case core.ChangeGrant:
+		return grant(s, ch.Key)
+	case core.ChangeRevoke:
+		return revoke(s, core.KeyID(ch.Target))
+	case core.ChangeShift:
+		return addShift(s, ch.Shift)
+	case core.ChangeDrain:
+		return addDrain(s, ch.Drain)
+	case core.ChangeResume:
+		return resume(s, ch.Target)
+	case core.ChangeRate:
+		return setRate(s, ch.Workspace)
+	default:
+		return s, codes.New(codes.ChangeInvalid, "sheet: unknown kind of change %q", ch.Kind)
+	}
+}
+
+// Compare checks a new sheet against the one in force. At most one failure
+// domain may be added or removed, so that majorities of neighbouring
+// versions have a domain in common. Keys that vanish from the sheet are
+// returned, so that they can be withdrawn.
+func Compare(old, next core.Sheet) ([]core.Withdrawal, error) {
+	before, after := Domains(old), Domains(next)
+	changed := 0
+	for _, d := range before {
+		if !slices.Contains(after, d) {
+			changed++
+		}
+	}
+	for _, d := range after {
+		if !slices.Contains(before, d) {
+			changed++
+		}
+	}
+	if len(before) > 0 && changed > 1 {
+		return nil, codes.New(codes.SheetInvalid, "sheet: %d failure domains are added or removed; one at a time is allowed", changed)
+	}
+	kept := make(map[core.KeyID]bool, len(next.Keys))
+	for _, k := range next.Keys {
+		kept[k.Name] = true
+	}
+	var gone []core.Withdrawal
+	for _, k := range old.Keys {
+		if !kept[k.Name] {
+			gone = append(gone, core.Withdrawal{Key: k.Name, Workspace: k.Workspace})
+		}
+	}
+	return gone, nil
+}
+
+// Domains returns the failure domains of a sheet in its order.
+func Domains(s core.Sheet) []core.DomainID {
+	var all []core.DomainID
+	for _, r := range s.Regions {
+		all = append(all, r.Domains...)
+	}
+	return all
+}
+
+// RegionOf returns the region of a failure domain, or an empty id.
+func RegionOf(s core.Sheet, d core.DomainID) core.RegionID {
+	for _, r := range s.Regions {
+		if slices.Contains(r.Domains, d) {
+			return r.Name
+		}
+	}
+	return ""
+}
+
+func grant(s core.Sheet, k core.Key) (core.Sheet, error) {
+	for _, other := range s.Keys {
+		if other.Name == k.Name {
+			return s, codes.New(codes.ChangeInvalid, "sheet: key %q exists already", k.Name)
+		}
+	}
+	s.Keys = append(slices.Clone(s.Keys), k)
+	c := &checker{spaces: make(map[core.WorkspaceID]bool)}
+	for _, w := range s.Workspaces {
+		c.spaces[w.Name] = true
+	}
+	c.keys(s)
+	return s, changeError(c)
+}
+
+func revoke(s core.Sheet, id core.KeyID) (core.Sheet, error) {
+	i := slices.IndexFunc(s.Keys, func(k core.Key) bool { return k.Name == id })
+	if i < 0 {
+		return s, codes.New(codes.ChangeInvalid, "sheet: no key %q", id)
+	}
+	s.Keys = slices.Delete(slices.Clone(s.Keys), i, i+1)
+	return s, nil
+}
+
+func addShift(s core.Sheet, v core.Shift) (core.Sheet, error) {
+	s.Shifts = append(slices.Clone(s.Shifts), v)
+	return s, changeError(planChecker(s))
+}
+
+func addDrain(s core.Sheet, d core.Drain) (core.Sheet, error) {
+	kept := slices.DeleteFunc(slices.Clone(s.Drains), func(other core.Drain) bool {
+		// A stop may follow a drain of the same target.
+		return other.Kind == d.Kind && other.Target == d.Target && other.Mode == core.ModeDrain && d.Mode == core.ModeStop
+	})
+	s.Drains = append(kept, d)
+	return s, changeError(planChecker(s))
+}
+
+func resume(s core.Sheet, target string) (core.Sheet, error) {
+	shifts := slices.DeleteFunc(slices.Clone(s.Shifts), func(v core.Shift) bool { return v.Name == target })
+	drains := slices.DeleteFunc(slices.Clone(s.Drains), func(d core.Drain) bool { return d.Target == target })
+	if len(shifts) == len(s.Shifts) && len(drains) == len(s.Drains) {
+		return s, codes.New(codes.ChangeInvalid, "sheet: no shift or drain of %q", target)
+	}
+	s.Shifts, s.Drains = shifts, drains
+	return s, nil
+}
+
+func setRate(s core.Sheet, w core.Workspace) (core.Sheet, error) {
+	i := slices.IndexFunc(s.Workspaces, func(other core.Workspace) bool { return other.Name == w.Name })
+	if i < 0 {
+		return s, codes.New(codes.ChangeInvalid, "sheet: no workspace %q", w.Name)
+	}
+	s.Workspaces = slices.Clone(s.Workspaces)
+	s.Workspaces[i] = w
+	c := &checker{spaces: make(map[core.WorkspaceID]bool)}
+	c.workspaces(s)
+	return s, changeError(c)
+}
+
+// planChecker checks shifts and drains without reading the client blocks,
+// of which there may be 930,000.
+func planChecker(s core.Sheet) *checker {
+	c := &checker{regions: make(map[core.RegionID]bool), domains: make(map[core.DomainID]bool)}
+	for _, r := range s.Regions {
+		c.regions[r.Name] = true
+		for _, d := range r.Domains {
+			c.domains[d] = true
+		}
+	}
+	c.plans(s)
+	return c
+}
+
+func changeError(c *checker) error {
+	return codes.Wrap(c.err(), codes.ChangeInvalid, "sheet: change refused")
+}
--- a/core/table.go
+++ b/core/table.go
@@ -8,6 +8,7 @@
 // The spaces of the table.
 const (
 	SpaceConfig    Space = "config"
+	SpaceSnapshot  Space = "snapshot"
 	SpaceWithdrawn Space = "withdrawn"
 	SpaceSeat      Space = "seat"
 	SpaceShare     Space = "share"
--- /dev/null
+++ b/io/caller/stream.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
+
+	"azurering/core/codes"
+	"azurering/core/flow"
+)
+
+// pieceSize bounds the memory of one streaming answer.
+const pieceSize = 32 << 10
+
+var errRevoked = codes.New(codes.KeyWithdrawn, "caller: the key was withdrawn while the answer was sent")
+
+// stream copies an answer to the caller and returns the bytes sent. It ends
+// with an error if the answer is cut, the caller makes no progress, or the
+// key of the request stops being valid.
+func (h *Handler) stream(c *gin.Context, answer flow.Answer) (int64, error) {
+	defer func() { _ = answer.Body.Close() }()
+	header := c.Writer.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	header.Set(HeaderCode, strconv.Itoa(int(codes.OK)))
+	header.Set(HeaderRun, RunDone)
+	if answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go cutOnRevoke(answer, done)
+	c.Writer.WriteHeader(answer.Status)
+	c.Writer.WriteHeaderNow()
+	if c.Request.Method == http.MethodHead {
+		return 0, nil
+	}
+	return h.copy(c, answer)
+}
+
+// cutOnRevoke ends the read from the backend server when the key stops
+// being valid, also while that server is silent.
+func cutOnRevoke(answer flow.Answer, done <-chan struct{}) {
+	select {
+	case <-answer.Revoked:
+		_ = answer.Body.Close()
+	case <-done:
+	}
+}
+
+func (h *Handler) copy(c *gin.Context, answer flow.Answer) (int64, error) {
+	control := http.NewResponseController(c.Writer)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	buf := make([]byte, pieceSize)
+	var sent int64
+	for {
+		n, readErr := answer.Body.Read(buf)
+		select {
+		case <-answer.Revoked:
+			return sent, errRevoked
+		default:
+		}
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(h.cfg.Slow))
+			written, err := c.Writer.Write(buf[:n])
+			sent += int64(written)
+			if err != nil {
+				return sent, errors.Wrap(err, "caller: write")
+			}
+		}
+		if readErr == io.EOF {
+			return sent, h.whole(answer, sent)
+		}
+		if readErr != nil {
+			return sent, errors.Wrap(readErr, "caller: read from backend server")
+		}
+		c.Writer.Flush()
+	}
+}
+
+func (h *Handler) whole(answer flow.Answer, sent int64) error {
+	if answer.Length >= 0 && sent != answer.Length {
+		return codes.New(codes.ServerCut, "caller: answer has %d of %d bytes", sent, answer.Length)
+	}
+	return nil
+}
