--- /dev/null
+++ b/io/wire/beat.go
@@ -0,0 +1,123 @@
+package wire
+
+import (
+	"time"
+
+	"azurering/core"
+)
+
+type hostWire struct {
+	_           struct{} `cbor:",toarray"`
+	Name        core.HostID
+	Domain      core.DomainID
+	Incarnation uint64
+	Caller      string
+	Peer        string
+	State       uint64
+}
+
+type ageWire struct {
+	_      struct{} `cbor:",toarray"`
+	Domain core.DomainID
+	Age    time.Duration
+}
+
+type loadWire struct {
+	_      struct{} `cbor:",toarray"`
+	Domain core.DomainID
+	Free   int64
+	Total  int64
+}
+
+type beatWire struct {
+	_         struct{} `cbor:",toarray"`
+	Host      hostWire
+	Members   []hostWire
+	Version   uint64
+	Withdrawn uint64
+	StoreAge  time.Duration
+	StoreSeen bool
+	Ages      []ageWire
+	Loads     []loadWire
+}
+
+func packHost(h core.Host) (hostWire, error) {
+	state, err := hostStates.required(string(h.State))
+	return hostWire{
+		Name: h.Name, Domain: h.Domain, Incarnation: h.Incarnation,
+		Caller: h.Caller, Peer: h.Peer, State: state,
+	}, err
+}
+
+func (w hostWire) host() (core.Host, error) {
+	state, err := hostStates.requiredValue(w.State)
+	return core.Host{
+		Name: w.Name, Domain: w.Domain, Incarnation: w.Incarnation,
+		Caller: w.Caller, Peer: w.Peer, State: core.HostState(state),
+	}, err
+}
+
+func packBeat(m core.Beat) (body, error) {
+	host, err := packHost(m.Host)
+	if err != nil {
+		return nil, err
+	}
+	w := &beatWire{
+		Host: host, Version: m.Version, Withdrawn: m.Withdrawn,
+		StoreAge: m.StoreAge, StoreSeen: m.StoreSeen,
+	}
+	for _, h := range m.Members {
+		member, err := packHost(h)
+		if err != nil {
+			return nil, err
+		}
+		w.Members = append(w.Members, member)
+	}
+	for _, a := range m.Ages {
+		w.Ages = append(w.Ages, ageWire{Domain: a.Domain, Age: a.Age})
+	}
+	for _, l := range m.Loads {
+		w.Loads = append(w.Loads, loadWire{Domain: l.Domain, Free: l.Free, Total: l.Total})
+	}
+	return w, w.check()
+}
+
+func (w *beatWire) check() error {
+	if err := notNegative("store age", w.StoreAge); err != nil {
+		return err
+	}
+	for _, a := range w.Ages {
+		if err := notNegative("age", a.Age); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *beatWire) message() (core.Message, error) {
+	if err := w.check(); err != nil {
+		return nil, err
+	}
+	host, err := w.Host.host()
+	if err != nil {
+		return nil, err
+	}
+	m := core.Beat{
+		Host: host, Version: w.Version, Withdrawn: w.Withdrawn,
+		StoreAge: w.StoreAge, StoreSeen: w.StoreSeen,
+	}
+	for _, h := range w.Members {
+		member, err := h.host()
+		if err != nil {
+			return nil, err
+		}
+		m.Members = append(m.Members, member)
+	}
+	for _, a := range w.Ages {
+		m.Ages = append(m.Ages, core.Age{Domain: a.Domain, Age: a.Age})
+	}
+	for _, l := range w.Loads {
+		m.Loads = append(m.Loads, core.Load{Domain: l.Domain, Free: l.Free, Total: l.Total})
+	}
+	return m, nil
+}
--- /dev/null
+++ b/io/wire/loan.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"time"
+
+	"azurering/core"
+)
+
+type amountWire struct {
+	_     struct{} `cbor:",toarray"`
+	Rate  int64
+	Burst int64
+	Slots int64
+}
+
+type loanItemWire struct {
+	_        struct{} `cbor:",toarray"`
+	Resource core.Resource
+	Held     amountWire
+	Want     amountWire
+}
+
+type loanAskWire struct {
+	_           struct{} `cbor:",toarray"`
+	Host        core.HostID
+	Incarnation uint64
+	Epoch       uint64
+	Items       []loanItemWire
+}
+
+type loanWire struct {
+	_        struct{} `cbor:",toarray"`
+	Resource core.Resource
+	Amount   amountWire
+}
+
+type loanGrantWire struct {
+	_      struct{} `cbor:",toarray"`
+	Epoch  uint64
+	Length time.Duration
+	Loans  []loanWire
+}
+
+func packAmount(a core.Amount) amountWire {
+	return amountWire{Rate: a.Rate, Burst: a.Burst, Slots: a.Slots}
+}
+
+func (w amountWire) amount() core.Amount {
+	return core.Amount{Rate: w.Rate, Burst: w.Burst, Slots: w.Slots}
+}
+
+func packLoanAsk(m core.LoanAsk) body {
+	w := &loanAskWire{Host: m.Host, Incarnation: m.Incarnation, Epoch: m.Epoch}
+	for _, i := range m.Items {
+		w.Items = append(w.Items, loanItemWire{Resource: i.Resource, Held: packAmount(i.Held), Want: packAmount(i.Want)})
+	}
+	return w
+}
+
+func (w *loanAskWire) message() (core.Message, error) {
+	m := core.LoanAsk{Host: w.Host, Incarnation: w.Incarnation, Epoch: w.Epoch}
+	for _, i := range w.Items {
+		m.Items = append(m.Items, core.LoanItem{Resource: i.Resource, Held: i.Held.amount(), Want: i.Want.amount()})
+	}
+	return m, nil
+}
+
+func packLoanGrant(m core.LoanGrant) (body, error) {
+	w := &loanGrantWire{Epoch: m.Epoch, Length: m.Length}
+	for _, l := range m.Loans {
+		w.Loans = append(w.Loans, loanWire{Resource: l.Resource, Amount: packAmount(l.Amount)})
+	}
+	return w, notNegative("loan length", m.Length)
+}
+
+func (w *loanGrantWire) message() (core.Message, error) {
+	m := core.LoanGrant{Epoch: w.Epoch, Length: w.Length}
+	for _, l := range w.Loans {
+		m.Loans = append(m.Loans, core.Loan{Resource: l.Resource, Amount: l.Amount.amount()})
+	}
+	return m, notNegative("loan length", w.Length)
+}
--- /dev/null
+++ b/io/wire/seat.go
@@ -0,0 +1,46 @@
+package wire
+
+import "azurering/core"
+
+type attestWire struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+type attestedWire struct {
+	_         struct{} `cbor:",toarray"`
+	Domain    core.DomainID
+	Host      core.HostID
+	Epoch     uint64
+	Acting    bool
+	Version   uint64
+	Withdrawn uint64
+}
+
+type seatPromiseWire struct {
+	_      struct{} `cbor:",toarray"`
+	Domain core.DomainID
+	Epoch  uint64
+}
+
+type seatPromisedWire struct {
+	_     struct{} `cbor:",toarray"`
+	Given bool
+	Epoch uint64
+}
+
+func (w *attestWire) message() (core.Message, error) { return core.Attest{}, nil }
+
+func (w *attestedWire) message() (core.Message, error) {
+	return core.Attested{
+		Domain: w.Domain, Host: w.Host, Epoch: w.Epoch, Acting: w.Acting,
+		Version: w.Version, Withdrawn: w.Withdrawn,
+	}, nil
+}
+
+func (w *seatPromiseWire) message() (core.Message, error) {
+	return core.SeatPromise{Domain: w.Domain, Epoch: w.Epoch}, nil
+}
+
+func (w *seatPromisedWire) message() (core.Message, error) {
+	return core.SeatPromised{Given: w.Given, Epoch: w.Epoch}, nil
+}
