flow: test the request path; end the time bound of downloads at their start

A download over a slow link was cut at the route's timeout although it made progress. The bound now covers the time until the answer starts.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -122,15 +122,14 @@
 		return Answer{}, err
 	}
 	answer := Answer{Workspace: grant.Workspace, Class: route.Class, Revoked: grant.Revoked}
-	ctx, cancel := context.WithTimeout(ctx, timeout(route, c))
-	stop := context.AfterFunc(ctx, grant.Release)
+	ctx, started, cancel := bound(ctx, route, c)
 	answer.Response, err = f.run(ctx, route, grant, c)
 	if err != nil {
 		cancel()
-		stop()
 		grant.Release()
 		return answer, err
 	}
+	started()
 	answer.Body = &guarded{ReadCloser: answer.Body, end: func() {
 		cancel()
 		grant.Release()
@@ -138,6 +137,23 @@
 	return answer, nil
 }
 
+// bound limits the time of a request. A download may stream for longer than
+// the limit over a slow link, so for downloads it ends once the answer has
+// started; the caller's side then demands progress.
+func bound(ctx context.Context, route core.Route, c Call) (context.Context, func(), context.CancelFunc) {
+	limit := timeout(route, c)
+	if route.Class != core.ClassDownload {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		return ctx, func() {}, cancel
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	alarm := time.AfterFunc(limit, cancel)
+	return ctx, func() { alarm.Stop() }, func() {
+		alarm.Stop()
+		cancel()
+	}
+}
+
 func timeout(route core.Route, c Call) time.Duration {
 	limit := route.Timeout
 	if limit == 0 {
@@ -184,10 +200,11 @@
 	if revoked(grant) {
 		return core.Response{}, codes.New(codes.KeyWithdrawn, "flow: the key was withdrawn while the request waited")
 	}
-	deadline, _ := ctx.Deadline()
 	r := core.Request{
-		Workspace: grant.Workspace, Service: c.Service, Method: c.Method, Path: c.Path,
-		Header: c.Header, Body: c.Body, Deadline: f.cfg.Timer.Now() + time.Until(deadline),
+		Workspace: grant.Workspace, Service: c.Service, Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		r.Deadline = f.cfg.Timer.Now() + time.Until(deadline)
 	}
 	if route.Kind == core.RouteOrder {
 		return f.order(ctx, route, grant, c, r)
@@ -210,11 +227,14 @@
 func (f *Flow) order(ctx context.Context, route core.Route, grant core.Grant, c Call, r core.Request) (core.Response, error) {
 	// A caller that loses its connection must find the recorded answer when
 	// it comes back, so the order goes on without it until its deadline.
-	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
-	defer cancel()
+	detached := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		detached, cancel = context.WithDeadline(detached, deadline)
+		defer cancel()
+	}
 	request := core.OrderRequest{Workspace: grant.Workspace, Key: c.Order, Digest: digest(c)}
-	answer, err := f.cfg.Orders.Do(ctx, request, func(ctx context.Context) (core.OrderAnswer, error) {
+	answer, err := f.cfg.Orders.Do(detached, request, func(ctx context.Context) (core.OrderAnswer, error) {
 		resp, err := f.send(ctx, route, grant, r)
 		if err != nil {
 			return core.OrderAnswer{}, err
--- /dev/null
+++ b/io/server/server_test.go
@@ -0,0 +1,213 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"azurering/core"
+	"azurering/core/timer"
+	"azurering/io/server"
+)
+
+// serve answers each request on raw connections by a function that may
+// write anything, and counts requests.
+func serve(t *testing.T, answer func(conn net.Conn, n int64)) (core.Server, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var count atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					answer(conn, count.Add(1))
+				}
+			}()
+		}
+	}()
+	return core.Server{Name: "s", Address: l.Addr().String()}, &count
+}
+
+func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+func order() core.Request {
+	return core.Request{
+		Workspace: "loft-a", Method: http.MethodPost, Path: "/orders",
+		Header: http.Header{"Idempotency-Key": {"k"}},
+	}
+}
+
+func stateOf(t *testing.T, err error) core.SendState {
+	t.Helper()
+	var se *core.SendError
+	require.True(t, errors.As(err, &se), "%v", err)
+	return se.State
+}
+
+// Guards against a wrong claim on how far a request got, on which "not run"
+// and retries of orders rest.
+func TestSendStates(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	_ = closed.Close()
+	for _, c := range []struct {
+		name   string
+		answer func(conn net.Conn, n int64)
+		state  core.SendState
+	}{
+		{"connection refused", nil, core.SendNone},
+		{"closed after the request", func(conn net.Conn, _ int64) { _ = conn.Close() }, core.SendMaybe},
+		{"malformed answer", func(conn net.Conn, _ int64) { write(conn, "HTTP/9\r\n\r\n"); _ = conn.Close() }, core.SendMaybe},
+		{"shed", func(conn net.Conn, _ int64) {
+			write(conn, "HTTP/1.1 503 Busy\r\nAzurering-Run: not-run\r\nContent-Length: 0\r\n\r\n")
+		}, core.SendRefused},
+		{"answer without an end", func(conn net.Conn, _ int64) {
+			write(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal")
+			_ = conn.Close()
+		}, core.SendMaybe},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target := core.Server{Address: closed.Addr().String()}
+			if c.answer != nil {
+				target, _ = serve(t, c.answer)
+			}
+			_, err := server.New(server.Config{Timer: timer.NewReal()}).Send(context.Background(), target, order())
+			require.Equal(t, c.state, stateOf(t, err))
+		})
+	}
+}
+
+// Guards against net/http sending an order a second time when a reused
+// connection is lost: with a canonical Idempotency-Key header it would.
+func TestOrderIsNotRepeatedByTransport(t *testing.T) {
+	target, count := serve(t, func(conn net.Conn, n int64) {
+		if n == 1 {
+			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		_ = conn.Close()
+	})
+	client := server.New(server.Config{Timer: timer.NewReal()})
+	first, err := client.Send(context.Background(), target, order())
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, first.Body)
+	require.NoError(t, first.Body.Close())
+	_, err = client.Send(context.Background(), target, order())
+	require.Equal(t, core.SendMaybe, stateOf(t, err))
+	require.EqualValues(t, 2, count.Load(), "the second order reached the server more than once")
+}
+
+// Guards against an answer that looks whole although it was cut.
+func TestCutAnswerGivesReadError(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, _ := serve(t, func(conn net.Conn, _ int64) { write(conn, text); _ = conn.Close() })
+			resp, err := server.New(server.Config{Timer: timer.NewReal()}).Send(context.Background(), target, order())
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			require.Error(t, err)
+			require.NoError(t, resp.Body.Close())
+		})
+	}
+}
+
+// Guards against the late answer of a cancelled request reaching the next
+// request on the same connection.
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	release := make(chan struct{})
+	target, _ := serve(t, func(conn net.Conn, n int64) {
+		if n == 1 {
+			<-release
+			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+			return
+		}
+		write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+	})
+	client := server.New(server.Config{Timer: timer.NewReal()})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Send(ctx, target, order())
+	require.Equal(t, core.SendMaybe, stateOf(t, err))
+	close(release)
+	resp, err := client.Send(context.Background(), target, order())
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "own", string(body))
+	require.NoError(t, resp.Body.Close())
+}
+
+// Guards against credentials, or a wrong workspace, in what a backend
+// server sees.
+func TestHeadersAtBackend(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	backend := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	go func() { _ = backend.Serve(l) }()
+	defer func() { _ = backend.Close() }()
+	clock := timer.NewManual()
+	clock.Advance(time.Second)
+	r := order()
+	r.Header.Set("Azurering-Workspace", "forged")
+	r.Deadline = 3 * time.Second
+	resp, err := server.New(server.Config{Timer: clock}).Send(context.Background(), core.Server{Address: l.Addr().String()}, r)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	header := <-seen
+	require.Equal(t, []string{"loft-a"}, header.Values(server.HeaderWorkspace))
+	require.Equal(t, "2000", header.Get(server.HeaderDeadline))
+	require.Equal(t, "k", header.Get("Idempotency-Key"))
+}
+
+// Guards against health reports that are misread: an unknown load must not
+// count as an idle server.
+func TestProbe(t *testing.T) {
+	for body, want := range map[string]core.Health{
+		`{"ready":true,"load":0.5}`:               {Ready: true, Load: 0.5},
+		`{"ready":true}`:                          {Ready: true, Load: -1},
+		`{"ready":false,"leaving":true,"load":7}`: {Leaving: true, Load: 1},
+		`{"ready":true,"load":-3}`:                {Ready: true, Load: -1},
+	} {
+		target, _ := serve(t, func(conn net.Conn, _ int64) {
+			write(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"+body)
+			_ = conn.Close()
+		})
+		got, err := server.New(server.Config{Timer: timer.NewReal()}).Probe(context.Background(), target)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	target, _ := serve(t, func(conn net.Conn, _ int64) {
+		write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"+strings.Repeat("x", 3))
+	})
+	_, err := server.New(server.Config{Timer: timer.NewReal()}).Probe(context.Background(), target)
+	require.Error(t, err)
+}
