--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -40,6 +40,9 @@
 	if c.Request.Method == http.MethodHead {
 		return 0, nil
 	}
+	if answer.Length < 0 || answer.Length > pieceSize {
+		c.Writer.Flush()
+	}
 	return h.copy(c, answer)
 }
 
