--- a/core/fakes/network.go
+++ b/core/fakes/network.go
@@ -103,6 +103,9 @@
 		return nil, codes.New(codes.PeerKind, "fakes: host %s does not handle %s", to, m.Kind())
 	}
 	answer, err := h(ctx, p.host, m)
+	if ctx.Err() != nil {
+		return nil, codes.Wrap(ctx.Err(), codes.PeerDown, "fakes: call of %s to host %s", m.Kind(), to)
+	}
 	if err != nil {
 		return nil, err
 	}
