peers: let the handler outlive the call in TestCallTimeout

The handler ended with its own context, which has the same length as the call, so its answer could win (seen once in 40 runs with -cpu 1,4). The handler now waits until the assertion is done. 120 runs with -cpu 1,4 and 30 with the race detector passed.

--- a/io/peers/peers_test.go
+++ b/io/peers/peers_test.go
@@ -165,8 +165,11 @@
 func TestCallTimeout(t *testing.T) {
 	w := &loopWorld{configure: func(cfg *peers.Config) { cfg.Timeout = 20 * time.Millisecond }}
 	a, b := w.start(t, "a"), w.start(t, "b")
-	b.Handle(core.KindAttest, func(ctx context.Context, _ core.HostID, _ core.Message) (core.Message, error) {
-		<-ctx.Done()
+	// The handler must outlive the call: its own context ends as early.
+	release := make(chan struct{})
+	defer close(release)
+	b.Handle(core.KindAttest, func(context.Context, core.HostID, core.Message) (core.Message, error) {
+		<-release
 		return core.Attested{}, nil
 	})
 	err := attest(t, a, "b")
