--- a/core/fakes/table.go
+++ b/core/fakes/table.go
@@ -147,6 +147,12 @@
 			return codes.New(codes.Internal, "fakes: commit names row %s/%s twice", w.Space, w.Key)
 		}
 		seen[k] = true
+		if w.Space == "" || w.Key == "" {
+			return codes.New(codes.Internal, "fakes: commit names a row without a key")
+		}
+		if w.Kind != core.WritePut && w.Kind != core.WriteDelete && w.Kind != core.WriteCheck {
+			return codes.New(codes.Internal, "fakes: unknown kind of write %q", w.Kind)
+		}
 		if t.rows[k].Version != w.Expect {
 			return codes.New(codes.StoreConflict, "fakes: row %s/%s has version %d, not %d", w.Space, w.Key, t.rows[k].Version, w.Expect)
 		}
