--- a/core/fakes/objects.go
+++ b/core/fakes/objects.go
@@ -27,8 +27,13 @@
 func (o *Objects) Put(_ context.Context, name string, body []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.fault == FaultDown {
+	switch o.fault {
+	case FaultDown:
 		return codes.New(codes.StoreDown, "fakes: object store is down")
+	case FaultLimit:
+		return codes.New(codes.StoreLimit, "fakes: object store is throttled")
+	case FaultLostSend:
+		return codes.New(codes.StoreUnknown, "fakes: put was lost")
 	}
 	if o.bodies == nil {
 		o.bodies = make(map[string][]byte)
@@ -47,6 +52,9 @@
 	if o.fault == FaultDown {
 		return nil, codes.New(codes.StoreDown, "fakes: object store is down")
 	}
+	if o.fault == FaultLimit {
+		return nil, codes.New(codes.StoreLimit, "fakes: object store is throttled")
+	}
 	body, ok := o.bodies[name]
 	if !ok {
 		return nil, codes.New(codes.StoreAbsent, "fakes: no object %s", name)
@@ -83,5 +91,8 @@
 	if r.fault == FaultDown {
 		return nil, codes.New(codes.StoreDown, "fakes: host list is down")
 	}
+	if r.fault == FaultLimit {
+		return nil, codes.New(codes.StoreLimit, "fakes: host list is throttled")
+	}
 	return append([]core.Host(nil), r.hosts...), nil
 }
