order: run orders at most once by claims in the table

An order that runs twice mends and bills twice, so a claim row is committed before the order is sent and the whole answer after it. Claims, answers and releases of concurrent orders share commits; a conflict is resolved by reading the rows back and committing the rest again, so one conflicting claim delays the others by one commit. A commit with an unknown outcome is never taken as failed: every row of it is read back by token, and a claim that was given up stays watched until no commit of it can take effect any more.

Not covered by a test: preferring the verdict that arrives together with the deadline, which changes only which true answer is given.

Conclusion: claims in the table alone keep every rule that the tests state.

--- /dev/null
+++ b/core/order/order.go
@@ -0,0 +1,301 @@
+// Package order runs orders at most once per workspace and idempotency key.
+//
+// A claim row in the table comes before the order is sent, the whole answer
+// is recorded after it. Claims, answers and releases of concurrent orders
+// share commits. The package needs a core.Table and a core.Timer; everything
+// else is optional.
+package order
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"azurering/core"
+	"azurering/core/codes"
+)
+
+// Config configures Orders. Table and Timer are required.
+type Config struct {
+	Table core.Table
+	// Objects keeps answers larger than Inline. Without it every answer is
+	// kept inline.
+	Objects core.Objects
+	// Peers asks the claiming host whether an order still runs. Without it
+	// a repeat at another host reads as unknown.
+	Peers core.Peers
+	Timer core.Timer
+	// Wall returns the wall time that dates claims and ages keys. Nil means
+	// time.Now. The clocks of all hosts must agree within Skew.
+	Wall func() time.Time
+
+	Host        core.HostID
+	Incarnation uint64
+	// Alive reports whether membership sees a host as alive. A host that
+	// refuted a suspicion runs on with a higher incarnation, so an older
+	// incarnation of a live host counts as alive: the question to the host
+	// then decides by the claim's token. Nil means that no other host is.
+	Alive func(core.HostID, uint64) bool
+
+	// Size bounds the orders that wait, run, or are being recorded or
+	// released. Zero means 4096.
+	Size int
+	// Batch bounds the writes of a commit. Zero means core.CommitLimit.
+	Batch int
+	// Writers bounds the commits in flight. Zero means 2: one more than the
+	// commit that is waited for, so that a slow commit does not stop all.
+	Writers int
+	// Linger bounds how long a write waits for others to share its commit
+	// while a writer is free. Zero means 2 ms, negative means none.
+	Linger time.Duration
+	// Inline bounds an encoded answer kept in the row. Zero means 4 KiB;
+	// the most is 32 KiB, because a DynamoDB transaction holds 4 MB.
+	Inline int
+	// Wait bounds the wait of an order without a deadline. Zero means 30 s.
+	Wait time.Duration
+	// CommitTimeout bounds one call of the table, the object store or a
+	// peer. Zero means 2 s.
+	CommitTimeout time.Duration
+	// Settle is how long after an unknown outcome a commit may still take
+	// effect. Zero means 60 s.
+	Settle time.Duration
+	// Retention is how long a record is kept. Zero means 48 h.
+	Retention time.Duration
+	// Skew bounds the difference between the hosts' wall clocks. Zero means
+	// 10 min.
+	Skew time.Duration
+	// Sweep reports whether this host deletes expired records now. Nil
+	// means that it does. One sweeping host is enough for the fleet.
+	Sweep func() bool
+	// SweepPage is the number of rows that one sweep reads, one sweep per
+	// second. Zero means 50.
+	SweepPage int
+	// Jitter randomises the pauses between attempts at a failing store.
+	// Zero means 0.2, negative means none.
+	Jitter float64
+}
+
+// Request is an order to run.
+type Request struct {
+	Workspace core.WorkspaceID
+	Key       string // idempotency key, at most 255 printable ASCII characters
+	Hash      [32]byte
+	// Deadline is local monotonic time. The order is not sent after it.
+	// Zero means Config.Wait from now.
+	Deadline time.Duration
+}
+
+// Result is the whole answer to an order.
+type Result struct {
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Repeated bool // the answer was recorded by an earlier request
+}
+
+// Send sends an order once and returns the whole answer. Its error is a
+// *core.SendError; any other error counts as core.SendMaybe.
+type Send func(ctx context.Context) (Result, error)
+
+// Hash returns the hash that tells requests with the same key apart.
+func Hash(method, path string, body []byte) [32]byte {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(method), []byte(path), body} {
+		// The length keeps the parts apart.
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	return [32]byte(h.Sum(nil))
+}
+
+// Stats counts what happened since New.
+type Stats struct {
+	Pending   int // orders that wait, run, or are being recorded or released
+	Claimed   uint64
+	Recorded  uint64
+	Released  uint64
+	Repeated  uint64
+	Commits   uint64
+	Conflicts uint64 // commits refused because a condition did not hold
+	Uncertain uint64 // commits with an unknown outcome
+	Reads     uint64
+	Swept     uint64 // expired records deleted
+	Lost      uint64 // answers whose claim row was gone or replaced
+}
+
+// Orders runs orders. It is safe for concurrent use. Run must be running
+// for anything to be committed.
+type Orders struct {
+	cfg  Config
+	wake chan struct{}
+	free chan struct{}
+
+	mu       sync.Mutex
+	calls    map[string]*call
+	queue    []*op
+	settling []*call
+	limit    int // writes in the next commit
+	retryAt  time.Duration
+	backoff  *backoff.ExponentialBackOff
+	cursor   string
+	sweepAt  time.Duration
+	stats    Stats
+}
+
+// New returns Orders and sets the handler of core.KindOrderPeek.
+func New(cfg Config) *Orders {
+	cfg = cfg.withDefaults()
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval, b.Multiplier = 50*time.Millisecond, 2*time.Second, 2
+	b.RandomizationFactor = cfg.Jitter
+	o := &Orders{
+		cfg:     cfg,
+		wake:    make(chan struct{}, 1),
+		free:    make(chan struct{}, cfg.Writers),
+		calls:   make(map[string]*call),
+		backoff: b,
+		limit:   cfg.Batch,
+	}
+	if cfg.Peers != nil {
+		cfg.Peers.Handle(core.KindOrderPeek, o.handlePeek)
+	}
+	return o
+}
+
+func (c Config) withDefaults() Config {
+	setInt := func(v *int, d int) {
+		if *v <= 0 {
+			*v = d
+		}
+	}
+	setTime := func(v *time.Duration, d time.Duration) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	setInt(&c.Size, 4096)
+	setInt(&c.Batch, core.CommitLimit)
+	setInt(&c.Writers, 2)
+	setInt(&c.Inline, 4<<10)
+	setInt(&c.SweepPage, 50)
+	setTime(&c.Linger, 2*time.Millisecond)
+	setTime(&c.Wait, 30*time.Second)
+	setTime(&c.CommitTimeout, 2*time.Second)
+	setTime(&c.Settle, time.Minute)
+	setTime(&c.Retention, 48*time.Hour)
+	setTime(&c.Skew, 10*time.Minute)
+	c.Batch = min(c.Batch, core.CommitLimit)
+	c.Inline = min(c.Inline, 32<<10)
+	if c.Jitter == 0 {
+		c.Jitter = 0.2
+	}
+	c.Jitter = max(c.Jitter, 0)
+	if c.Wall == nil {
+		c.Wall = time.Now
+	}
+	if c.Alive == nil {
+		c.Alive = func(core.HostID, uint64) bool { return false }
+	}
+	return c
+}
+
+// Stats returns the counters.
+func (o *Orders) Stats() Stats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.stats
+	s.Pending = len(o.calls)
+	return s
+}
+
+// Do runs an order at most once. send is called at most once, and only
+// after the claim of this call is committed.
+//
+// Errors carry the codes OrderKeyMissing, RequestBad, OrderExpired,
+// OrderMismatch (the key was used with another hash), OrderRunning,
+// OrderUnknown (the order may have run) or OrderNotRun (the order has not
+// run and will not run through this call; the cause says why). An answer is
+// returned before it is recorded; it is recorded in the background.
+func (o *Orders) Do(ctx context.Context, r Request, send Send) (Result, error) {
+	if err := o.check(r); err != nil {
+		return Result{}, err
+	}
+	if r.Deadline == 0 {
+		r.Deadline = o.cfg.Timer.Now() + o.cfg.Wait
+	}
+	for {
+		result, again, err := o.attempt(ctx, r, send)
+		if !again {
+			return result, err
+		}
+	}
+}
+
+// attempt claims once. It asks to be called again if the row that stood in
+// the way is gone.
+func (o *Orders) attempt(ctx context.Context, r Request, send Send) (Result, bool, error) {
+	c, earlier, err := o.enter(r)
+	if err != nil {
+		return Result{}, false, err
+	}
+	if earlier != nil {
+		return o.awaitRelease(ctx, r, earlier)
+	}
+	v, err := o.awaitClaim(ctx, r, c)
+	if err != nil {
+		return Result{}, false, err
+	}
+	if !v.claimed {
+		return o.answerRow(ctx, r, v.row)
+	}
+	if err := o.stillWanted(ctx, r); err != nil {
+		o.release(c)
+		return Result{}, false, err
+	}
+	result, err := o.send(ctx, c, send)
+	return result, false, err
+}
+
+func (o *Orders) stillWanted(ctx context.Context, r Request) error {
+	if err := ctx.Err(); err != nil {
+		return codes.Wrap(err, codes.OrderNotRun, "order: caller left before the order was sent")
+	}
+	if o.cfg.Timer.Now() >= r.Deadline {
+		return notRunDeadline()
+	}
+	return nil
+}
+
+func notRunDeadline() error {
+	return codes.New(codes.OrderNotRun, "order: deadline passed before the order was sent")
+}
+
+// send calls send and decides what becomes of the claim.
+func (o *Orders) send(ctx context.Context, c *call, send Send) (Result, error) {
+	finished := false
+	defer func() {
+		// A panic of send leaves the claim: the order may have run.
+		if !finished {
+			o.leave(c)
+		}
+	}()
+	result, err := send(ctx)
+	finished = true
+	if err == nil {
+		o.record(c, result)
+		return result, nil
+	}
+	if notSent(err) {
+		o.release(c)
+		return Result{}, codes.Wrap(err, codes.OrderNotRun, "order: no server ran the order")
+	}
+	o.leave(c)
+	return Result{}, codes.Wrap(err, codes.OrderUnknown, "order: outcome of the order is unknown")
+}
--- /dev/null
+++ b/core/order/steps_test.go
@@ -0,0 +1,430 @@
+package order_test
+
+import (
+	"context"
+	"encoding/binary"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/core/fakes"
+	"azurering/core/order"
+)
+
+const key = "order-1"
+
+// Guards against a second execution, and against a wrong answer to the
+// retry, when the claiming host dies at any step of an order.
+func TestHostDiesAtEachStep(t *testing.T) {
+	claim := func(w core.Write) bool { return w.Kind == core.WritePut && w.Expect == 0 }
+	outcome := func(w core.Write) bool { return w.Kind == core.WritePut && w.Expect == 1 }
+	steps := []struct {
+		name  string
+		at    func(core.Write) bool
+		after bool
+		sends bool
+		code  codes.Code
+		runs  int
+	}{
+		{name: "before claim", at: claim, code: codes.OK, runs: 1},
+		{name: "after claim", at: claim, after: true, code: codes.OrderUnknown},
+		{name: "after send", sends: true, code: codes.OrderUnknown, runs: 1},
+		{name: "before outcome", at: outcome, code: codes.OrderUnknown, runs: 1},
+		{name: "after outcome", at: outcome, after: true, code: codes.OK, runs: 1},
+	}
+	for _, step := range steps {
+		for _, again := range []core.HostID{"a", "b"} {
+			t.Run(step.name+", retry at "+string(again), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newLab(t)
+					a, b := l.boot("a", 1, nil), l.boot("b", 1, nil)
+					mode := backendRuns
+					if step.sends {
+						mode = backendSlow
+					} else {
+						a.onWrite = func(w core.Write, after bool) {
+							if step.at(w) && after == step.after {
+								a.kill()
+							}
+						}
+					}
+					l.ask(a, key, "x", 5*time.Second, mode)
+					a.kill()
+					l.advance(4 * time.Second)
+					if again == "a" {
+						b = l.boot("a", 2, nil)
+					}
+					retry := l.ask(b, key, "x", 5*time.Second, backendRuns)
+					l.advance(6 * time.Second)
+					require.True(t, retry.done)
+					require.Equal(t, step.code, retry.code(), "%v", retry.err)
+					require.Equal(t, step.runs, l.runs[key])
+					if step.code == codes.OK {
+						require.Equal(t, answerTo(key, "x"), string(retry.result.Body))
+					}
+					l.stop()
+				})
+			})
+		}
+	}
+}
+
+// Guards against taking a commit with an unknown outcome for a failed or a
+// successful one, at the claim, the outcome and the release.
+func TestLostAnswers(t *testing.T) {
+	for _, fault := range []fakes.Fault{fakes.FaultLostAck, fakes.FaultLostSend, "late"} {
+		for _, at := range []string{"claim", "outcome", "release"} {
+			t.Run(string(fault)+" at "+at, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newLab(t)
+					a, b := l.boot("a", 1, nil), l.boot("b", 1, nil)
+					set := func() {
+						l.mu.Lock()
+						defer l.mu.Unlock()
+						a.late, a.lossy = fault == "late", fault
+					}
+					mode := backendRuns
+					if at == "release" {
+						mode = backendRefuses
+					}
+					if at == "claim" {
+						set()
+					} else {
+						a.onWrite = func(w core.Write, after bool) {
+							if after && w.Expect == 0 {
+								set()
+							}
+						}
+					}
+					first := l.ask(a, key, "x", 20*time.Second, mode)
+					l.advance(time.Second)
+					l.land()
+					l.advance(5 * time.Second)
+					require.True(t, first.done)
+					second := l.ask(b, key, "x", 5*time.Second, backendRuns)
+					l.advance(2 * time.Second)
+					require.True(t, second.done)
+					require.NoError(t, second.err)
+					require.Equal(t, answerTo(key, "x"), string(second.result.Body))
+					require.Equal(t, 1, l.runs[key])
+					if at == "release" {
+						require.Equal(t, codes.OrderNotRun, first.code())
+					} else {
+						require.NoError(t, first.err)
+						require.True(t, second.result.Repeated)
+					}
+					l.advance(2 * time.Minute)
+					require.Zero(t, a.orders.Stats().Pending)
+					l.stop()
+				})
+			})
+		}
+	}
+}
+
+// Guards against an abandoned claim that takes effect after its order was
+// refused as not run: it must be released, and never be sent.
+func TestAbandonedClaimLandsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a, b := l.boot("a", 1, nil), l.boot("b", 1, nil)
+		a.late = true
+		first := l.ask(a, key, "x", time.Second, backendRuns)
+		a.cut = true
+		l.advance(3 * time.Second)
+		require.Equal(t, codes.OrderNotRun, first.code())
+		l.land()
+		running := l.ask(b, key, "x", time.Second, backendRuns)
+		require.Equal(t, codes.OrderRunning, running.code(), "the claim is held until it is released")
+		l.mu.Lock()
+		a.cut = false
+		l.mu.Unlock()
+		l.advance(5 * time.Second)
+		require.Zero(t, l.runs[key])
+		retry := l.ask(b, key, "x", time.Second, backendRuns)
+		require.NoError(t, retry.err)
+		l.advance(2 * time.Minute)
+		require.Equal(t, 1, l.runs[key])
+		require.Zero(t, a.orders.Stats().Pending)
+		l.stop()
+	})
+}
+
+// Guards against two executions when two retries race on two hosts.
+func TestRetriesRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		linger := func(c *order.Config) { c.Linger = 10 * time.Millisecond }
+		a, b := l.boot("a", 1, nil), l.boot("b", 1, linger)
+		two := l.ask(b, key, "x", 10*time.Second, backendSlow)
+		other := l.ask(b, key+"b", "y", 10*time.Second, backendRuns)
+		one := l.ask(a, key, "x", 10*time.Second, backendSlow)
+		l.advance(4 * time.Second)
+		require.Equal(t, 1, l.runs[key])
+		require.ElementsMatch(t, []codes.Code{codes.OK, codes.OrderRunning}, []codes.Code{one.code(), two.code()})
+		require.NoError(t, other.err, "a conflicting claim must not fail the others of its commit")
+		require.Equal(t, 1, l.runs[key+"b"])
+		l.stop()
+	})
+}
+
+// Guards against sending an order whose refusal was "not run" once the
+// store returns, and against losing those whose deadline is later.
+func TestStoreDownThenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a := l.boot("a", 1, func(c *order.Config) { c.Size = 3 })
+		l.table.SetFault(fakes.FaultDown)
+		short := l.ask(a, "short", "x", 5*time.Second, backendRuns)
+		long := l.ask(a, "long", "x", 60*time.Second, backendRuns)
+		l.ask(a, "third", "x", 60*time.Second, backendRuns)
+		full := l.ask(a, "fourth", "x", 60*time.Second, backendRuns)
+		require.Equal(t, codes.OrderNotRun, full.code())
+		l.advance(30 * time.Second)
+		require.Equal(t, codes.OrderNotRun, short.code())
+		require.False(t, long.done)
+		l.table.SetFault(fakes.FaultNone)
+		l.advance(5 * time.Second)
+		require.NoError(t, long.err)
+		require.True(t, long.done)
+		require.Equal(t, map[string]int{"long": 1, "third": 1}, l.runs)
+		l.stop()
+	})
+}
+
+// Guards against a host that is paused past the deadline and then sends an
+// order that a retry may have been told about.
+func TestPausedHostRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a, b := l.boot("a", 1, nil), l.boot("b", 1, nil)
+		a.onWrite = func(w core.Write, after bool) {
+			if after && w.Expect == 0 {
+				a.pause(true)
+			}
+		}
+		first := l.ask(a, key, "x", 5*time.Second, backendRuns)
+		l.net.Cut("a", "b", true)
+		l.advance(10 * time.Second)
+		second := l.ask(b, key, "x", 5*time.Second, backendRuns)
+		require.Equal(t, codes.OrderUnknown, second.code())
+		l.net.Cut("a", "b", false)
+		a.pause(false)
+		l.advance(5 * time.Second)
+		require.Equal(t, codes.OrderNotRun, first.code())
+		require.Zero(t, l.runs[key])
+		third := l.ask(b, key, "x", 5*time.Second, backendRuns)
+		require.NoError(t, third.err)
+		l.stop()
+	})
+}
+
+// Guards against answering a key with the answer to another body, another
+// workspace or a damaged object.
+func TestAnswersBelongToTheirRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a := l.boot("a", 1, func(c *order.Config) { c.Inline = 1 })
+		require.NoError(t, l.ask(a, key, "x", time.Second, backendRuns).err)
+		require.Equal(t, codes.OrderMismatch, l.ask(a, key, "y", time.Second, backendRuns).code())
+		repeat := l.ask(a, key, "x", time.Second, backendRuns)
+		require.True(t, repeat.result.Repeated)
+		require.Equal(t, answerTo(key, "x"), string(repeat.result.Body))
+		send := func(context.Context) (order.Result, error) { return order.Result{Body: []byte("own")}, nil }
+		for _, r := range []order.Request{{Workspace: "p/k", Key: "c"}, {Workspace: "p", Key: "k/c"}, {Workspace: "p/k/k", Key: "c"}} {
+			got, err := a.orders.Do(a.ctx, r, send)
+			require.NoError(t, err)
+			require.False(t, got.Repeated, "%v", r)
+		}
+		rows, err := l.table.List(a.ctx, core.SpaceOrder, "", 0)
+		require.NoError(t, err)
+		require.Len(t, rows, 4)
+		l.stop()
+	})
+}
+
+// Guards against a record that is deleted while its key is still accepted,
+// against records that stay for ever, and against old keys that run again.
+func TestRecordsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a := l.boot("a", 1, func(c *order.Config) {
+			c.Sweep, c.SweepPage, c.Retention, c.Skew = nil, 3, time.Hour, 5*time.Minute
+		})
+		var dated []string
+		for range 10 {
+			id, err := uuid.NewV7()
+			require.NoError(t, err)
+			dated = append(dated, id.String())
+		}
+		for _, k := range append([]string{"p", "q", "r", "s"}, dated...) {
+			require.NoError(t, l.ask(a, k, "x", time.Second, backendRuns).err)
+		}
+		send := func(context.Context) (order.Result, error) { return order.Result{}, nil }
+		_, err := a.orders.Do(a.ctx, order.Request{Workspace: "zeta", Key: "p"}, send)
+		require.NoError(t, err)
+		l.advance(50 * time.Minute)
+		young, early := uuid.Must(uuid.NewV7()), uuid.Must(uuid.NewV7())
+		// A key may be younger than its claim, as with a fast caller's clock.
+		copy(young[:6], dateOf(l.wall()))
+		copy(early[:6], dateOf(l.wall().Add(40*time.Minute)))
+		require.NoError(t, l.ask(a, "young", "x", time.Second, backendRuns).err)
+		require.NoError(t, l.ask(a, young.String(), "x", time.Second, backendRuns).err)
+		require.NoError(t, l.ask(a, early.String(), "x", time.Second, backendRuns).err)
+		rows, err := l.table.List(a.ctx, core.SpaceOrder, "", 0)
+		require.NoError(t, err)
+		require.Len(t, rows, 18)
+		l.advance(18 * time.Minute)
+		rows, err = l.table.List(a.ctx, core.SpaceOrder, "", 0)
+		require.NoError(t, err)
+		require.Len(t, rows, 3)
+		l.advance(55 * time.Minute)
+		rows, err = l.table.List(a.ctx, core.SpaceOrder, "", 0)
+		require.NoError(t, err)
+		require.Len(t, rows, 1, "the key from the future is still accepted")
+		l.advance(time.Hour)
+		rows, err = l.table.List(a.ctx, core.SpaceOrder, "", 0)
+		require.NoError(t, err)
+		require.Empty(t, rows)
+		require.Equal(t, codes.OrderExpired, l.ask(a, dated[0], "x", time.Second, backendRuns).code())
+		require.Equal(t, 1, l.runs[dated[0]])
+		l.stop()
+	})
+}
+
+func dateOf(at time.Time) []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(at.UnixMilli()))[2:]
+}
+
+// deaf is a timer whose alarms a paused host does not hear.
+type deaf struct{ core.Timer }
+
+func (deaf) After(time.Duration) <-chan time.Duration { return nil }
+
+// Guards against sending an order whose claim is confirmed after the
+// deadline, as when the whole process was paused.
+func TestClaimConfirmedAfterDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a := l.boot("a", 1, func(c *order.Config) { c.Timer = deaf{l.timer} })
+		a.onWrite = func(w core.Write, after bool) {
+			if after && w.Expect == 0 {
+				l.timer.Advance(time.Minute)
+			}
+		}
+		first := l.ask(a, key, "x", time.Second, backendRuns)
+		require.Equal(t, codes.OrderNotRun, first.code())
+		require.Zero(t, l.runs[key])
+		a.onWrite = nil
+		require.NoError(t, l.ask(a, key, "x", time.Second, backendRuns).err)
+		l.stop()
+	})
+}
+
+// Guards against a claim that returns after its release, because an earlier
+// commit of it was still under way.
+func TestReleasedClaimReturnsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a, b := l.boot("a", 1, nil), l.boot("b", 1, nil)
+		a.late = true
+		first := l.ask(a, key, "x", 5*time.Second, backendRefuses)
+		l.advance(2 * time.Second)
+		require.Equal(t, codes.OrderNotRun, first.code())
+		l.land()
+		l.advance(3 * time.Second)
+		require.NoError(t, l.ask(b, key, "x", time.Second, backendRuns).err)
+		require.Equal(t, 1, l.runs[key])
+		l.stop()
+	})
+}
+
+// Guards against taking a whole commit for done because one of its rows
+// was written by an earlier commit whose outcome was unknown.
+func TestOneRowDoesNotProveTheCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a, b := l.boot("a", 1, nil), l.boot("b", 1, nil)
+		a.late = true
+		l.ask(a, "k1", "x", 9*time.Second, backendRuns)
+		l.land()
+		first := l.ask(a, "k2", "x", 9*time.Second, backendRuns)
+		require.Zero(t, l.runs["k2"], "the store rests after a failure")
+		a.lossy = fakes.FaultLostAck
+		l.advance(500 * time.Millisecond)
+		l.advance(5 * time.Second)
+		require.NoError(t, first.err)
+		repeat := l.ask(b, "k2", "x", time.Second, backendRuns)
+		require.NoError(t, repeat.err)
+		require.True(t, repeat.result.Repeated)
+		require.Equal(t, map[string]int{"k1": 1, "k2": 1}, l.runs)
+		l.stop()
+	})
+}
+
+// Guards against answers to a repeat while the first request runs: another
+// body is refused, a restarted host does not vouch for an older claim, and
+// an answer that is recorded meanwhile is returned.
+func TestRepeatsMeetAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a := l.boot("a", 1, nil)
+		asked, hold := false, make(chan struct{})
+		b := l.boot("b", 1, func(c *order.Config) {
+			c.Alive = func(core.HostID, uint64) bool {
+				asked = true
+				<-hold
+				return true
+			}
+		})
+		first := l.ask(a, key, "x", 5*time.Second, backendSlow)
+		require.Equal(t, codes.OrderMismatch, l.ask(a, key, "y", time.Second, backendRuns).code())
+		require.Equal(t, codes.OrderRunning, l.ask(a, key, "x", time.Second, backendRuns).code())
+		repeat := l.ask(b, key, "x", 20*time.Second, backendRuns)
+		require.True(t, asked)
+		l.advance(5 * time.Second)
+		require.NoError(t, first.err)
+		close(hold)
+		synctest.Wait()
+		require.NoError(t, repeat.err)
+		require.True(t, repeat.result.Repeated)
+
+		l.ask(a, "other", "x", 5*time.Second, backendSlow)
+		a.kill()
+		a = l.boot("a", 2, nil)
+		a.pause(true)
+		l.ask(a, "other", "x", 5*time.Second, backendSlow)
+		require.Equal(t, codes.OrderUnknown, l.ask(b, "other", "x", time.Second, backendRuns).code())
+		l.stop()
+	})
+}
+
+// Guards against releasing an order whose sender panicked after it may have
+// sent.
+func TestPanicKeepsTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t)
+		a := l.boot("a", 1, nil)
+		r := order.Request{Workspace: "loft", Key: key, Hash: order.Hash("POST", "/orders", []byte("x"))}
+		require.Panics(t, func() {
+			_, _ = a.orders.Do(a.ctx, r, func(context.Context) (order.Result, error) { panic("sender") })
+		})
+		l.advance(time.Minute)
+		require.Equal(t, codes.OrderUnknown, l.ask(a, key, "x", time.Second, backendRuns).code())
+		l.stop()
+	})
+}
+
+// Guards against malformed keys that reach the table.
+func TestBadKeys(t *testing.T) {
+	o := order.New(order.Config{Table: &fakes.Table{}})
+	for k, code := range map[string]codes.Code{"": codes.OrderKeyMissing, "a b": codes.RequestBad, "é": codes.RequestBad, string(make([]byte, 300)): codes.RequestBad} {
+		_, err := o.Do(t.Context(), order.Request{Workspace: "w", Key: k}, nil)
+		require.Equal(t, code, codes.Of(err))
+	}
+}
