order: take the refusing rows from the store's conflict

DynamoDB can return the rows that refused a transaction, so core.ConflictError carries them as the optional cause of StoreConflict, and the fake table does the same. A store that does not tell them has its claims read first, by up to 25 reads at a time.

Broken in a scratch copy, each seen to fail: telling rows without the token check, refusing the whole batch, forgetting the answers of a batch with a conflicting claim.

--- a/core/fakes/table.go
+++ b/core/fakes/table.go
@@ -141,20 +141,25 @@
 		return codes.New(codes.Internal, "fakes: commit of %d writes is over the limit of %d", len(writes), core.CommitLimit)
 	}
 	seen := make(map[rowKey]bool, len(writes))
+	var refused []core.Row
 	for _, w := range writes {
 		k := rowKey{w.Space, w.Key}
 		if seen[k] {
 			return codes.New(codes.Internal, "fakes: commit names row %s/%s twice", w.Space, w.Key)
 		}
 		seen[k] = true
-		if t.rows[k].Version != w.Expect {
-			return codes.New(codes.StoreConflict, "fakes: row %s/%s has version %d, not %d", w.Space, w.Key, t.rows[k].Version, w.Expect)
-		}
-		if w.ExpectToken != "" && t.rows[k].Token != w.ExpectToken {
-			return codes.New(codes.StoreConflict, "fakes: row %s/%s has another token", w.Space, w.Key)
+		row := t.rows[k]
+		if row.Version != w.Expect || (w.ExpectToken != "" && row.Token != w.ExpectToken) {
+			row.Space, row.Key = w.Space, w.Key
+			refused = append(refused, row)
 		}
 	}
-	return nil
+	if len(refused) == 0 {
+		return nil
+	}
+	first := refused[0]
+	return codes.Wrap(&core.ConflictError{Rows: refused}, codes.StoreConflict,
+		"fakes: row %s/%s has version %d or a token that the commit does not expect", first.Space, first.Key, first.Version)
 }
 
 func (t *Table) apply(writes []core.Write) {
--- a/core/order/commit.go
+++ b/core/order/commit.go
@@ -5,12 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"azurering/core"
 	"azurering/core/codes"
 )
 
 // readers bounds the concurrent reads that resolve one commit.
-const readers = 8
+const readers = 25
 
 // Run commits, releases and sweeps until the context ends. It starts one
 // goroutine per duty and one per commit in flight, and waits for them.
@@ -76,8 +78,8 @@
 	}
 }
 
-// commit writes a batch. After a conflict it reads the rows, takes out what
-// is decided and commits the rest once more without adding ops, so that
+// commit writes a batch. After a conflict it takes out what is decided and
+// commits the rest once more without adding ops, so that
 // one conflicting claim delays the others by one commit.
 func (o *Orders) commit(ctx context.Context, batch []*op) {
 	batch = o.putObjects(ctx, batch)
@@ -96,7 +98,7 @@
 			o.fail(batch)
 			return
 		case codes.StoreConflict:
-			batch, unread = o.resolve(ctx, batch)
+			batch, unread = o.resolveConflict(ctx, batch, err)
 			o.fail(unread)
 		default:
 			o.uncertain(batch)
@@ -199,6 +201,60 @@
 	}
 }
 
+// resolveConflict decides the ops whose rows refused a commit. If the store
+// does not name the rows, the claims are read first: answers and releases
+// meet a row that only this host changes.
+func (o *Orders) resolveConflict(ctx context.Context, batch []*op, cause error) (open, unread []*op) {
+	var told *core.ConflictError
+	if errors.As(cause, &told) && len(told.Rows) > 0 {
+		return o.decideTold(batch, told.Rows), nil
+	}
+	var claims, others []*op
+	for _, p := range batch {
+		if p.kind == opClaim {
+			claims = append(claims, p)
+			continue
+		}
+		others = append(others, p)
+	}
+	open, unread = o.resolve(ctx, claims)
+	if len(open)+len(unread) < len(claims) {
+		return append(open, others...), unread
+	}
+	otherOpen, otherUnread := o.resolve(ctx, others)
+	return append(open, otherOpen...), append(unread, otherUnread...)
+}
+
+func (o *Orders) decideTold(batch []*op, rows []core.Row) []*op {
+	refused := make(map[string]core.Row, len(rows))
+	for _, row := range rows {
+		refused[row.Key] = row
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var open []*op
+	for _, p := range batch {
+		row, ok := refused[p.write.Key]
+		if !ok || !o.decide(p, row) {
+			open = append(open, p)
+		}
+	}
+	return open
+}
+
+// decide settles an op if the row decides it.
+func (o *Orders) decide(p *op, row core.Row) bool {
+	switch {
+	case took(p.write, row):
+		o.applied(p)
+	case holds(p.write, row):
+		return false
+	default:
+		o.refused(p, row)
+	}
+	return true
+}
+
 // resolve reads the rows of a batch back and decides what their tokens
 // decide. It returns the ops that stay open and those whose row could not
 // be read. Every row is read: an earlier commit with other ops may have
@@ -211,12 +267,8 @@
 		switch {
 		case !known[i]:
 			unread = append(unread, p)
-		case took(p.write, rows[i]):
-			o.applied(p)
-		case holds(p.write, rows[i]):
+		case !o.decide(p, rows[i]):
 			open = append(open, p)
-		default:
-			o.refused(p, rows[i])
 		}
 	}
 	return open, unread
--- a/core/order/lab_test.go
+++ b/core/order/lab_test.go
@@ -218,6 +218,10 @@
 		return codes.New(codes.StoreUnknown, "lab: commit was lost")
 	}
 	err := l.table.Commit(ctx, writes)
+	if h.name == "b" && codes.Is(err, codes.StoreConflict) {
+		// This host's store does not tell which rows refused.
+		err = codes.New(codes.StoreConflict, "lab: conflict")
+	}
 	if lossy == fakes.FaultLostAck {
 		// A lost answer hides a conflict as well.
 		return codes.New(codes.StoreUnknown, "lab: answer was lost")
--- a/core/order/steps_test.go
+++ b/core/order/steps_test.go
@@ -161,6 +161,8 @@
 		l := newLab(t)
 		linger := func(c *order.Config) { c.Linger = 10 * time.Millisecond }
 		a, b := l.boot("a", 1, nil), l.boot("b", 1, linger)
+		l.ask(b, "done", "x", 10*time.Second, backendRuns)
+		l.advance(10 * time.Millisecond) // its answer now waits for the same commit
 		two := l.ask(b, key, "x", 10*time.Second, backendSlow)
 		other := l.ask(b, key+"b", "y", 10*time.Second, backendRuns)
 		one := l.ask(a, key, "x", 10*time.Second, backendSlow)
@@ -169,6 +171,9 @@
 		require.ElementsMatch(t, []codes.Code{codes.OK, codes.OrderRunning}, []codes.Code{one.code(), two.code()})
 		require.NoError(t, other.err, "a conflicting claim must not fail the others of its commit")
 		require.Equal(t, 1, l.runs[key+"b"])
+		require.NoError(t, l.ask(a, "done", "x", time.Second, backendRuns).err)
+		require.Equal(t, 1, l.runs["done"])
+		require.Zero(t, b.orders.Stats().Pending)
 		l.stop()
 	})
 }
--- a/core/table.go
+++ b/core/table.go
@@ -1,6 +1,9 @@
 package core
 
-import "context"
+import (
+	"context"
+	"strconv"
+)
 
 // Space groups the rows of one kind in the table.
 type Space string
@@ -49,6 +52,16 @@
 	Value       []byte
 }
 
+// ConflictError is the cause of a StoreConflict from a store that tells
+// which rows refused the commit, as DynamoDB does. Rows holds all of them
+// as they were then. It is optional: without it the caller reads the rows.
+type ConflictError struct{ Rows []Row }
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return "core: " + strconv.Itoa(len(e.Rows)) + " rows refused the commit"
+}
+
 // CommitLimit is the largest number of writes in one commit, the limit of
 // a DynamoDB transaction.
 const CommitLimit = 100
