order: free the row of an abandoned claim for retries

A claim whose commit had an unknown outcome held its row for the settle time of 60 s, so a retry at the same host was refused although the store had returned. The abandoned claim is now watched apart from the row, and a retry may claim it. Large answers are stored by a duty of their own: a slow or failing object store held up the claims that shared the commit and made all commits pause. A settle round ends at the first failed read.

--- a/core/order/call.go
+++ b/core/order/call.go
@@ -56,8 +56,8 @@
 	if c := o.calls[row]; c != nil {
 		return o.meet(r, c)
 	}
-	if len(o.calls) >= o.cfg.Size {
-		full := codes.New(codes.QueueFull, "order: %d orders are pending", len(o.calls))
+	if pending := len(o.calls) + len(o.ghosts); pending >= o.cfg.Size {
+		full := codes.New(codes.QueueFull, "order: %d orders are pending", pending)
 		return nil, nil, codes.Wrap(full, codes.OrderNotRun, "order: too many orders wait")
 	}
 	c = &call{
@@ -159,9 +159,11 @@
 }
 
 // settle watches the row of a call that never ran until no commit of its
-// claim can take effect any more.
+// claim can take effect any more. A retry may claim the row meanwhile.
 func (o *Orders) settle(c *call) {
 	c.state = callReleasing
+	o.finish(c)
+	o.ghosts[c.token] = c
 	o.settling = append(o.settling, c)
 }
 
@@ -187,7 +189,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	c.state, c.result = callRecording, r
-	o.push(o.answerOp(c))
+	p := o.answerOp(c)
+	if p.object == "" {
+		o.push(p)
+		return
+	}
+	o.large = append(o.large, p)
+	wake(o.wakePuts)
 }
 
 func (o *Orders) finish(c *call) {
--- a/core/order/commit.go
+++ b/core/order/commit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +18,7 @@
 func (o *Orders) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { o.runCommits(ctx, &wg) })
+	wg.Go(func() { o.runPuts(ctx, &wg) })
 	wg.Go(func() { o.runSettle(ctx) })
 	wg.Go(func() { o.runSweep(ctx) })
 	wg.Wait()
@@ -82,7 +82,6 @@
 // commits the rest once more without adding ops, so that
 // one conflicting claim delays the others by one commit.
 func (o *Orders) commit(ctx context.Context, batch []*op) {
-	batch = o.putObjects(ctx, batch)
 	for round := 0; len(batch) > 0; round++ {
 		if round == 2 {
 			o.requeue(batch)
@@ -126,35 +125,6 @@
 	return err
 }
 
-// putObjects stores the large answers of a batch and returns the ops that
-// can be committed. A put with an unknown outcome is repeated, because its
-// name is derived from its content.
-func (o *Orders) putObjects(ctx context.Context, batch []*op) []*op {
-	var ready, failed []*op
-	for _, p := range batch {
-		if p.object == "" {
-			ready = append(ready, p)
-			continue
-		}
-		if err := o.putObject(ctx, p); err != nil {
-			failed = append(failed, p)
-			continue
-		}
-		p.object, p.body = "", nil
-		ready = append(ready, p)
-	}
-	if len(failed) > 0 {
-		o.fail(failed)
-	}
-	return ready
-}
-
-func (o *Orders) putObject(ctx context.Context, p *op) error {
-	ctx, cancel := context.WithTimeout(ctx, o.cfg.CommitTimeout)
-	defer cancel()
-	return o.cfg.Objects.Put(ctx, p.object, p.body)
-}
-
 func (o *Orders) succeed(batch []*op) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -312,6 +282,3 @@
 func holds(w core.Write, row core.Row) bool {
 	return row.Version == w.Expect && (w.ExpectToken == "" || row.Token == w.ExpectToken)
 }
-
-// settlePeriod is how often doubtful rows are read.
-const settlePeriod = time.Second
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -102,7 +102,8 @@
 // *core.SendError; any other error counts as core.SendMaybe.
 type Send func(ctx context.Context) (Result, error)
 
-// Hash returns the hash that tells requests with the same key apart.
+// Hash returns the hash that tells requests with the same key apart. The
+// path includes the service.
 func Hash(method, path string, body []byte) [32]byte {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(method), []byte(path), body} {
@@ -133,15 +134,18 @@
 // Orders runs orders. It is safe for concurrent use. Run must be running
 // for anything to be committed.
 type Orders struct {
-	cfg  Config
-	wake chan struct{}
-	free chan struct{}
+	cfg      Config
+	wake     chan struct{}
+	wakePuts chan struct{}
+	free     chan struct{} // holds one item per commit in flight
 
 	mu       sync.Mutex
-	calls    map[string]*call
+	calls    map[string]*call // by row
 	queue    []*op
-	settling []*call
-	limit    int // writes in the next commit
+	large    []*op            // answers that wait for the object store
+	ghosts   map[string]*call // by token: never sent, but the claim may still take effect
+	settling []*call          // ghosts whose row is to be read
+	limit    int              // writes in the next commit
 	retryAt  time.Duration
 	backoff  *backoff.ExponentialBackOff
 	cursor   string
@@ -156,12 +160,14 @@
 	b.InitialInterval, b.MaxInterval, b.Multiplier = 50*time.Millisecond, 2*time.Second, 2
 	b.RandomizationFactor = cfg.Jitter
 	o := &Orders{
-		cfg:     cfg,
-		wake:    make(chan struct{}, 1),
-		free:    make(chan struct{}, cfg.Writers),
-		calls:   make(map[string]*call),
-		backoff: b,
-		limit:   cfg.Batch,
+		cfg:      cfg,
+		wake:     make(chan struct{}, 1),
+		wakePuts: make(chan struct{}, 1),
+		free:     make(chan struct{}, cfg.Writers),
+		calls:    make(map[string]*call),
+		ghosts:   make(map[string]*call),
+		backoff:  b,
+		limit:    cfg.Batch,
 	}
 	if cfg.Peers != nil {
 		cfg.Peers.Handle(core.KindOrderPeek, o.handlePeek)
@@ -211,7 +217,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.stats
-	s.Pending = len(o.calls)
+	s.Pending = len(o.calls) + len(o.ghosts)
 	return s
 }
 
--- a/core/order/queue.go
+++ b/core/order/queue.go
@@ -11,7 +11,7 @@
 type op struct {
 	write core.Write
 	call  *call // nil for a sweep
-	// object is put into the object store before the write.
+	// object is put into the object store before the write is queued.
 	object string
 	body   []byte
 	kind   opKind
@@ -71,9 +71,11 @@
 	o.signal()
 }
 
-func (o *Orders) signal() {
+func (o *Orders) signal() { wake(o.wake) }
+
+func wake(c chan struct{}) {
 	select {
-	case o.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/core/order/release.go
+++ b/core/order/release.go
@@ -2,6 +2,14 @@
 
 import (
 	"context"
+	"time"
+)
+
+const (
+	// settlePeriod is how often the rows of ghosts are read.
+	settlePeriod = time.Second
+	// settleBatch bounds the reads of one settle round.
+	settleBatch = 50
 )
 
 // runSettle reads the rows of calls that never ran but whose claim may
@@ -14,34 +22,42 @@
 		case <-ctx.Done():
 			return
 		case <-ticks.C():
-			o.settleOnce(ctx)
+			o.settleRound(ctx)
 		}
 	}
 }
 
-// settleBatch bounds the reads of one settle round, so that a long outage
-// is followed by at most this many reads a second.
-const settleBatch = 50
-
-func (o *Orders) settleOnce(ctx context.Context) {
-	for _, c := range o.takeSettling() {
-		started := o.cfg.Timer.Now()
-		row, err := o.read(ctx, c.row)
-		o.mu.Lock()
-		switch {
-		case err != nil:
-			o.settle(c)
-		case row.Version > 0 && row.Token == c.token:
-			o.releaseLocked(c)
-		case started < c.doubtAt+o.cfg.Settle:
-			o.settle(c)
-		default:
-			o.finish(c)
+// settleRound reads until the store fails.
+func (o *Orders) settleRound(ctx context.Context) {
+	for i, due := 0, o.takeSettling(); i < len(due); i++ {
+		if !o.settleOne(ctx, due[i]) {
+			o.mu.Lock()
+			o.settling = append(o.settling, due[i:]...)
+			o.mu.Unlock()
+			return
 		}
-		o.mu.Unlock()
 	}
 }
 
+func (o *Orders) settleOne(ctx context.Context, c *call) bool {
+	started := o.cfg.Timer.Now()
+	row, err := o.read(ctx, c.row)
+	if err != nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case row.Version > 0 && row.Token == c.token:
+		o.push(o.releaseOp(c))
+	case started < c.doubtAt+o.cfg.Settle:
+		o.settling = append(o.settling, c)
+	default:
+		delete(o.ghosts, c.token)
+	}
+	return true
+}
+
 func (o *Orders) takeSettling() []*call {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/core/order/repeat.go
+++ b/core/order/repeat.go
@@ -78,10 +78,14 @@
 	return ok && peeked.Running
 }
 
-// works reports whether a call with the token is at this host.
+// works reports whether a call with the token is at this host: it runs, or
+// its claim is being released.
 func (o *Orders) works(row, token string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.ghosts[token] != nil {
+		return true
+	}
 	c := o.calls[row]
 	return c != nil && c.token == token
 }
