--- a/io/caller/clean.go
+++ b/io/caller/clean.go
@@ -113,7 +113,6 @@
 		return nil, codes.New(codes.RequestTooLarge, "caller: body is over %d bytes", h.cfg.MaxBody)
 	}
 	control := http.NewResponseController(c.Writer)
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	r := &pacedReader{r: io.LimitReader(c.Request.Body, h.cfg.MaxBody+1), slow: h.cfg.Slow, control: control}
 	body, err := io.ReadAll(r)
 	var timeout net.Error
@@ -123,6 +122,9 @@
 	if err != nil {
 		return nil, codes.Wrap(err, codes.RequestBad, "caller: body could not be read")
 	}
+	// After a failed read the deadline stays, so that the server does not
+	// wait for the rest of the body before it answers.
+	_ = control.SetReadDeadline(time.Time{})
 	if int64(len(body)) > h.cfg.MaxBody {
 		return nil, codes.New(codes.RequestTooLarge, "caller: body is over %d bytes", h.cfg.MaxBody)
 	}
