member: add membership and failure detection

Cause: hosts are known only from a lagging list and from each other.

Each host has four neighbours by rendezvous hashing, up to three in its own domain and at least one in another. A host that is silent for 3 s is suspected; it is dead only after a second observer has suspected it too, or if nobody else can be heard. A verdict of a sole observer stays local. Reported deaths wait 3 s for a refutation, so a healed partition does not spread false deaths. core.Beat gets two fields: Suspects, because a second observer cannot be told from an echo of the first without the name of the observer, and Joining, with which a new host asks for the whole view.

--- /dev/null
+++ b/core/member/fleet_test.go
@@ -0,0 +1,190 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"azurering/core"
+	"azurering/core/member"
+	"azurering/core/timer"
+)
+
+// fleet runs groups in virtual time over a network with loss and cuts.
+type fleet struct {
+	timer  *timer.Manual
+	random *rand.Rand
+	nodes  []*node
+	byName map[core.HostID]*node
+	loss   float64
+	// cut reports whether two hosts cannot reach each other.
+	cut      func(a, b *node) bool
+	messages int
+	bytes    int
+	measure  bool
+	enc      cbor.EncMode
+}
+
+type node struct {
+	name   core.HostID
+	domain core.DomainID
+	group  *member.Group
+	down   bool
+	paused bool
+	starts uint64
+	// changes counts the states that this host saw others take.
+	changes map[core.HostState]int
+}
+
+func newFleet(tb interface{ Helper() }, domains, perDomain int, seed uint64) *fleet {
+	tb.Helper()
+	f := &fleet{
+		timer: timer.NewManual(), random: rand.New(rand.NewPCG(seed, 1)),
+		byName: make(map[core.HostID]*node), cut: func(_, _ *node) bool { return false },
+	}
+	f.enc, _ = cbor.CanonicalEncOptions().EncMode()
+	for d := range domains {
+		for h := range perDomain {
+			n := &node{name: core.HostID(fmt.Sprintf("entry-%02d-%03d", d, h)), domain: core.DomainID(fmt.Sprintf("domain-%02d", d))}
+			f.nodes = append(f.nodes, n)
+			f.byName[n.name] = n
+		}
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	for _, n := range f.nodes {
+		n.group.Roster(f.timer.Now(), f.list())
+	}
+	return f
+}
+
+func (f *fleet) list() []core.Host {
+	var all []core.Host
+	for _, n := range f.nodes {
+		all = append(all, core.Host{Name: n.name, Domain: n.domain, State: core.HostLive, Caller: "127.0.0.1:7000", Peer: "127.0.0.1:7001"})
+	}
+	return all
+}
+
+func (f *fleet) start(n *node) {
+	n.starts++
+	n.down, n.paused = false, false
+	n.changes = make(map[core.HostState]int)
+	n.group = member.New(member.Config{Timer: f.timer, Self: core.Host{
+		Name: n.name, Domain: n.domain, Incarnation: n.starts * 1000,
+		Caller: "127.0.0.1:7000", Peer: "127.0.0.1:7001",
+	}})
+}
+
+// step advances one second, with the hosts' ticks spread over it.
+func (f *fleet) step() {
+	const slices = 10
+	for slice := range slices {
+		f.timer.Advance(time.Second / slices)
+		for i, n := range f.nodes {
+			if i%slices == slice && !n.down && !n.paused {
+				f.tick(n)
+			}
+		}
+	}
+}
+
+func (f *fleet) run(seconds int) {
+	for range seconds {
+		f.step()
+	}
+}
+
+func (f *fleet) tick(n *node) {
+	now := f.timer.Now()
+	plan := n.group.Tick(now)
+	for _, c := range plan.Changes {
+		n.changes[c.Host.State]++
+	}
+	for _, to := range plan.Beats {
+		f.exchange(n, f.byName[to.Name])
+	}
+}
+
+func (f *fleet) exchange(n, to *node) {
+	now := f.timer.Now()
+	if !f.arrives(n, to, n.group.Beat(now, to.name), to.group) {
+		return
+	}
+	f.arrives(to, n, to.group.Beat(now, n.name), n.group)
+}
+
+func (f *fleet) arrives(from, to *node, b core.Beat, g *member.Group) bool {
+	f.messages++
+	if f.measure {
+		raw, _ := f.enc.Marshal(encode(b))
+		f.bytes += len(raw)
+	}
+	if to.down || to.paused || f.cut(from, to) || f.random.Float64() < f.loss {
+		return false
+	}
+	g.Receive(f.timer.Now(), b)
+	return true
+}
+
+// encode gives the beat the shape of a compact CBOR array.
+func encode(b core.Beat) any {
+	host := func(h core.Host) any {
+		return []any{string(h.Name), string(h.Domain), h.Incarnation, h.Caller, h.Peer, string(h.State)}
+	}
+	var members, suspects []any
+	for _, h := range b.Members {
+		members = append(members, host(h))
+	}
+	for _, s := range b.Suspects {
+		suspects = append(suspects, []any{string(s.Host), s.Incarnation, string(s.By)})
+	}
+	return []any{"beat", host(b.Host), members, suspects, b.Joining, b.Version, b.Withdrawn, int64(b.StoreAge), b.StoreSeen}
+}
+
+func (n *node) state(of core.HostID) core.HostState {
+	for _, h := range n.group.Hosts() {
+		if h.Name == of {
+			return h.State
+		}
+	}
+	return ""
+}
+
+// wrong counts entries of running hosts' views that differ from the truth,
+// where only hosts for which same holds should be live.
+func (f *fleet) wrong(same func(viewer, of *node) bool) int {
+	wrong := 0
+	for _, n := range f.nodes {
+		if n.down || n.paused {
+			continue
+		}
+		live := make(map[core.HostID]bool)
+		for _, h := range n.group.Live("") {
+			live[h.Name] = true
+		}
+		for _, other := range f.nodes {
+			want := !other.down && !other.paused && same(n, other)
+			if live[other.name] != want {
+				wrong++
+			}
+		}
+	}
+	return wrong
+}
+
+func all(_, _ *node) bool { return true }
+
+// settle runs until all views are right and returns the seconds it took.
+func (f *fleet) settle(same func(viewer, of *node) bool, limit int) int {
+	for s := range limit {
+		if f.wrong(same) == 0 {
+			return s
+		}
+		f.step()
+	}
+	return limit
+}
--- a/core/peers.go
+++ b/core/peers.go
@@ -66,10 +66,24 @@
 	Total  int64 // slots of servers that take new work
 }
 
+// Suspicion says that the host By observed silence of another host and
+// suspects it. The incarnation is the one that the suspect must exceed to
+// refute the suspicion.
+type Suspicion struct {
+	Host        HostID
+	Incarnation uint64
+	By          HostID
+}
+
 // Beat is a heartbeat, and the answer to one.
 type Beat struct {
 	Host    Host
 	Members []Host // recent changes of membership
+	// Suspects holds the sender's own suspicions. In a beat to a suspect it
+	// also holds those of others about it, so that it can refute them.
+	Suspects []Suspicion
+	// Joining asks the receiver for its whole view, a part in each beat.
+	Joining bool
 	// Version and Withdrawn let the receiver notice that it lags.
 	Version   uint64
 	Withdrawn uint64 // order-independent digest of the withdrawal set
