--- a/core/peers.go
+++ b/core/peers.go
@@ -73,8 +73,13 @@
 	// Version and Withdrawn let the receiver notice that it lags.
 	Version   uint64
 	Withdrawn uint64 // order-independent digest of the withdrawal set
+	// Logged is the number of rows of the table's log of withdrawals that
+	// the sender has. A receiver that has fewer pulls the rest.
+	Logged uint64
+	// StoreAge is the age of the sender's evidence, be it a store read or a
+	// majority of attestations.
 	StoreAge  time.Duration
-	StoreSeen bool // false if no store read is known; StoreAge does not count
+	StoreSeen bool // false if the sender is not fresh; StoreAge does not count
 	Ages      []Age
 	Loads     []Load
 }
@@ -94,8 +99,16 @@
 	Body  []byte
 }
 
-// WithdrawPush carries withdrawals.
-type WithdrawPush struct{ Withdrawals []Withdrawal }
+// WithdrawPush carries withdrawals. As an answer to WithdrawPull it starts
+// with the Logged rows that follow row After of the table's log, in order;
+// the rest are withdrawals that the sender does not know to be in the log.
+type WithdrawPush struct {
+	Withdrawals []Withdrawal
+	After       uint64
+	Logged      uint64
+	More        bool   // the sender has more rows; the rest is left out
+	Digest      uint64 // of all that the sender has, if More is not set
+}
 
 // WithdrawAck says that the withdrawals are in force on the host. Acting
 // says that the host holds the seat of its domain, of the given epoch, and
@@ -107,15 +120,16 @@
 	Acting bool
 }
 
-// WithdrawPull asks for the whole withdrawal set.
-type WithdrawPull struct{}
+// WithdrawPull asks for the withdrawals after a row of the table's log, and
+// for those that are not in the log.
+type WithdrawPull struct{ After uint64 }
 
 // Attest asks a seat holder for an attestation.
 type Attest struct{}
 
 // Attested is the answer of a host to Attest. It counts as evidence only
-// if Acting is set, and only after the asker has merged the withdrawals
-// and reached Version.
+// if Acting or Seen is set, and only after the asker has merged the
+// withdrawals and reached Version.
 type Attested struct {
 	Domain    DomainID
 	Host      HostID
@@ -123,6 +137,14 @@
 	Acting    bool
 	Version   uint64
 	Withdrawn uint64
+	// Holder and Candidates say who has the seat of the domain as far as
+	// the answering host knows, so that the asker finds the holder.
+	Holder     HostID
+	Candidates []HostID
+	// Age is the age of the answering host's evidence; it counts if Seen is
+	// set.
+	Seen bool
+	Age  time.Duration
 }
 
 // SeatPromise asks a candidate to promise that it will not take the seat.
--- /dev/null
+++ b/core/seats/world_test.go
@@ -0,0 +1,405 @@
+package seats_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sort"
+	"time"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/core/fakes"
+	"azurering/core/keys"
+	"azurering/core/seats"
+	"azurering/core/timer"
+)
+
+const (
+	bound  = 4 * time.Second
+	margin = bound / 10
+	frame  = 500 * time.Millisecond
+)
+
+// world runs hosts with clocks of different speed against one table and one
+// network in a single goroutine, so a run depends only on its inputs.
+type world struct {
+	now      time.Duration // true time
+	table    *fakes.Table
+	net      *fakes.Network
+	domains  []core.DomainID
+	hosts    map[core.HostID]*host
+	names    []core.HostID
+	heard    map[[2]core.HostID]time.Duration
+	cut      map[[2]core.HostID]bool
+	down     bool // the store
+	late     []func()
+	accepted map[core.KeyID]time.Duration
+	gone     map[core.HostID]bool
+	depth    int
+	fail     func(format string, args ...any)
+}
+
+// host is one run of an entry host.
+type host struct {
+	core.Host
+	w      *world
+	clock  *timer.Manual
+	speed  float64
+	peer   *fakes.Peer
+	seat   *seats.Seat
+	keys   *keys.Keys
+	ev     *seats.Evidence
+	dead   bool
+	paused bool
+	noDB   bool
+	busy   bool
+	commit string        // fault of the next commit
+	stall  time.Duration // length of the next call to the table
+	frozen bool          // the stalled host answers no messages
+	known  map[core.KeyID]bool
+	watch  map[core.KeyID]*keys.Watch
+}
+
+func bearer(id core.KeyID) string { return "secret-" + string(id) }
+
+func keyName(i int) core.KeyID { return core.KeyID(fmt.Sprintf("key-%02d", i)) }
+
+func newWorld(domains, perDomain int, fail func(string, ...any)) *world {
+	w := &world{
+		table: &fakes.Table{}, net: &fakes.Network{}, hosts: map[core.HostID]*host{}, heard: map[[2]core.HostID]time.Duration{},
+		cut: map[[2]core.HostID]bool{}, accepted: map[core.KeyID]time.Duration{}, gone: map[core.HostID]bool{}, fail: fail,
+	}
+	for d := range domains {
+		w.domains = append(w.domains, core.DomainID(string(rune('a'+d))))
+	}
+	for _, d := range w.domains {
+		for i := range perDomain {
+			w.start(core.HostID(fmt.Sprintf("%s%d", d, i+1)), d)
+		}
+	}
+	return w
+}
+
+// start starts a host, or a new run of it. Speeds lie within 4.5% of true
+// time, which the margin of 10% must cover.
+func (w *world) start(name core.HostID, d core.DomainID) *host {
+	inc := uint64(1)
+	if old := w.hosts[name]; old != nil {
+		inc = old.Incarnation + 1
+	} else {
+		w.names = append(w.names, name)
+		sort.Slice(w.names, func(i, j int) bool { return w.names[i] < w.names[j] })
+	}
+	speeds := []float64{0.955, 1.045, 1}
+	h := &host{
+		Host: core.Host{Name: name, Domain: d, Incarnation: inc, State: core.HostLive}, w: w, clock: timer.NewManual(),
+		speed: speeds[(int(name[len(name)-1])+int(inc))%3], peer: w.net.Peer(name),
+		known: map[core.KeyID]bool{}, watch: map[core.KeyID]*keys.Watch{},
+	}
+	w.hosts[name] = h
+	w.net.Down(name, false)
+	domains := func() []core.DomainID { return w.domains }
+	h.ev = seats.NewEvidence(seats.EvidenceConfig{
+		Timer: h.clock, Bound: bound, Domains: domains,
+		Covers: func(version, withdrawn uint64) bool { return version <= 1 && h.keys.Covers(withdrawn) },
+		State:  func() (uint64, uint64) { return 1, h.keys.Digest() },
+	})
+	var err error
+	h.seat, err = seats.New(seats.Config{
+		Host: h.Host, Table: simTable{h}, Peers: h.peer, Timer: h.clock, Evidence: h.ev, Domains: domains, Parallel: 1,
+		Hosts:  func() []core.Host { return w.live(h, d) },
+		Remote: func(d core.DomainID) []core.Host { return w.live(h, d) },
+		Gone:   func(h core.HostID) bool { return w.gone[h] },
+		CatchUp: func(ctx context.Context, from core.HostID, _, _ uint64) error {
+			return h.keys.Pull(ctx, from)
+		},
+	})
+	w.must(err)
+	h.keys, err = keys.New(keys.Config{
+		Host: h.Host, Table: simTable{h}, Peers: h.peer, Timer: h.clock, Seat: h.seat, Evidence: h.ev, Domains: domains, Parallel: 1,
+		Neighbours: func() []core.HostID { return w.neighbours(h) },
+	})
+	w.must(err)
+	var list []core.Key
+	for i := range 20 {
+		list = append(list, core.Key{Name: keyName(i), Workspace: "ws", Hash: sha256.Sum256([]byte(bearer(keyName(i))))})
+	}
+	h.keys.SetKeys(list)
+	h.peer.Handle(core.KindBeat, func(context.Context, core.HostID, core.Message) (core.Message, error) { return h.beat(), nil })
+	return h
+}
+
+func (w *world) must(err error) {
+	if err != nil {
+		w.fail("set-up: %v", err)
+	}
+}
+
+// live is a membership that lags by up to five seconds.
+func (w *world) live(h *host, d core.DomainID) []core.Host {
+	var out []core.Host
+	for _, n := range w.names {
+		at, ok := w.heard[[2]core.HostID{h.Name, n}]
+		if o := w.hosts[n]; o.Domain == d && (n == h.Name || (ok && w.now-at < 5*time.Second)) {
+			out = append(out, o.Host)
+		}
+	}
+	return out
+}
+
+// neighbours are the hosts of the own domain and one host of another.
+func (w *world) neighbours(h *host) []core.HostID {
+	var out []core.HostID
+	for _, o := range w.live(h, h.Domain) {
+		if o.Name != h.Name {
+			out = append(out, o.Name)
+		}
+	}
+	for _, d := range w.domains {
+		if hosts := w.live(h, d); d != h.Domain && len(hosts) > 0 {
+			return append(out, hosts[0].Name)
+		}
+	}
+	return out
+}
+
+func (h *host) beat() core.Beat {
+	var b core.Beat
+	h.ev.Fill(h.clock.Now(), &b)
+	h.keys.Fill(&b)
+	return b
+}
+
+func (h *host) up() bool { return !h.dead && !h.paused && !h.busy }
+
+// tick is one round of an entry host: seat, keys, configuration, heartbeats.
+func (h *host) tick() {
+	ctx := context.Background()
+	_ = h.seat.Tick(ctx)
+	_ = h.keys.Tick(ctx)
+	if started := h.clock.Now(); h.seat.Reader() {
+		if _, err := (simTable{h}).Get(ctx, core.SpaceConfig, "head"); err == nil {
+			h.ev.RecordStore(core.SpaceConfig, started)
+		}
+	}
+	for _, n := range h.w.neighbours(h) {
+		asked := h.clock.Now()
+		m, err := h.peer.Call(ctx, n, core.Beat{})
+		if err != nil {
+			continue
+		}
+		b := m.(core.Beat)
+		h.keys.Observe(n, b)
+		if !h.ev.Merge(asked, b) && h.keys.Pull(ctx, n) == nil {
+			h.ev.Merge(asked, b)
+		}
+	}
+}
+
+// advance moves true time and checks the rules at each frame. Hosts that are
+// up tick once per second.
+func (w *world) advance(d time.Duration) {
+	for ; d > 0; d -= frame {
+		w.now += min(d, frame)
+		for _, n := range w.names {
+			h := w.hosts[n]
+			h.clock.Advance(time.Duration(float64(min(d, frame)) * h.speed))
+			for _, o := range w.names {
+				if o := w.hosts[o]; h.up() && o.up() && !w.cut[[2]core.HostID{n, o.Name}] {
+					w.heard[[2]core.HostID{n, o.Name}] = w.now
+				}
+			}
+		}
+		w.check()
+		for i, n := range w.names {
+			if h := w.hosts[n]; h.up() && int(w.now/frame)%2 == i%2 {
+				h.tick()
+				w.check()
+			}
+		}
+	}
+}
+
+// check verifies the rules that must hold at every moment.
+func (w *world) check() {
+	acting := map[core.DomainID]core.HostID{}
+	for _, n := range w.names {
+		h := w.hosts[n]
+		if h.dead {
+			continue
+		}
+		if epoch, ok := h.seat.Acting(); ok {
+			if other, taken := acting[h.Domain]; taken {
+				w.fail("at %v hosts %s and %s act for domain %s (epoch %d)", w.now, other, n, h.Domain, epoch)
+			}
+			acting[h.Domain] = n
+		}
+		for i := range 20 {
+			w.checkKey(h, keyName(i))
+		}
+	}
+}
+
+func (w *world) checkKey(h *host, id core.KeyID) {
+	if h.keys.Withdrawn(id) {
+		h.known[id] = true
+	} else if h.known[id] {
+		w.fail("at %v host %s has forgotten the withdrawal of %s", w.now, h.Name, id)
+	}
+	at, accepted := w.accepted[id]
+	over := accepted && w.now > at+bound+margin
+	if _, _, err := h.keys.Check(bearer(id)); err == nil {
+		if over {
+			w.fail("at %v host %s admits %s, withdrawn at %v", w.now, h.Name, id, at)
+		}
+		if h.watch[id] == nil || h.watch[id].Err() != nil {
+			h.watch[id] = h.keys.Watch(id)
+		}
+	}
+	if over && h.watch[id] != nil && h.watch[id].Err() == nil {
+		w.fail("at %v a stream of %s still runs on host %s, withdrawn at %v", w.now, id, h.Name, at)
+	}
+}
+
+func (w *world) withdraw(h *host, id core.KeyID) (keys.Report, error) {
+	r, err := h.keys.Withdraw(context.Background(), core.Withdrawal{Key: id})
+	if _, ok := w.accepted[id]; r.Accepted && !ok {
+		w.accepted[id] = w.now
+	}
+	return r, err
+}
+
+func (w *world) setCut(a, b core.HostID, cut bool) {
+	w.net.Cut(a, b, cut)
+	w.cut[[2]core.HostID{a, b}], w.cut[[2]core.HostID{b, a}] = cut, cut
+}
+
+// isolate cuts or heals all links between the named hosts and the others.
+func (w *world) isolate(group map[core.HostID]bool, cut bool) {
+	for _, a := range w.names {
+		for _, b := range w.names {
+			if group[a] != group[b] {
+				w.setCut(a, b, cut)
+			}
+		}
+	}
+}
+
+func (w *world) kill(h *host) {
+	h.dead = true
+	w.net.Down(h.Name, true)
+}
+
+func (w *world) pause(h *host, paused bool) {
+	h.paused = paused
+	w.net.Down(h.Name, paused || h.dead)
+}
+
+// acting returns the acting host of a domain.
+func (w *world) acting(d core.DomainID) *host {
+	for _, n := range w.names {
+		if h := w.hosts[n]; !h.dead && h.Domain == d {
+			if _, ok := h.seat.Acting(); ok {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+// heal ends all faults and starts all hosts.
+func (w *world) heal() {
+	w.down = false
+	w.isolate(nil, false)
+	for _, a := range w.names {
+		for _, b := range w.names {
+			w.setCut(a, b, false)
+		}
+		h := w.hosts[a]
+		h.noDB, h.commit, h.stall = false, "", 0
+		w.pause(h, false)
+		if h.dead {
+			w.start(a, h.Domain)
+		}
+	}
+	w.landLate()
+}
+
+func (w *world) landLate() {
+	late := w.late
+	w.late = nil
+	for _, f := range late {
+		f()
+	}
+}
+
+// simTable is the table as one host reaches it.
+type simTable struct{ h *host }
+
+// wait lets the world run on while the host waits for the table. A frozen
+// host is paused in that time.
+func (s simTable) wait() {
+	h, w := s.h, s.h.w
+	d := h.stall
+	h.stall = 0
+	if d == 0 || w.depth > 0 || h.dead {
+		return
+	}
+	w.depth++
+	h.busy = true
+	w.net.Down(h.Name, h.frozen)
+	w.advance(d)
+	h.busy = false
+	w.net.Down(h.Name, h.dead || h.paused)
+	w.depth--
+}
+
+func (s simTable) reach() error {
+	if s.h.w.down || s.h.noDB {
+		return codes.New(codes.StoreDown, "sim: table is down")
+	}
+	return nil
+}
+
+func (s simTable) Get(ctx context.Context, space core.Space, key string) (core.Row, error) {
+	if err := s.reach(); err != nil {
+		return core.Row{}, err
+	}
+	row, err := s.h.w.table.Get(ctx, space, key)
+	s.wait()
+	return row, err
+}
+
+func (s simTable) List(ctx context.Context, space core.Space, after string, limit int) ([]core.Row, error) {
+	if err := s.reach(); err != nil {
+		return nil, err
+	}
+	rows, err := s.h.w.table.List(ctx, space, after, limit)
+	s.wait()
+	return rows, err
+}
+
+func (s simTable) Commit(ctx context.Context, writes []core.Write) error {
+	if err := s.reach(); err != nil {
+		return err
+	}
+	w, fault := s.h.w, s.h.commit
+	s.h.commit = ""
+	unknown := codes.New(codes.StoreUnknown, "sim: no answer")
+	switch fault {
+	case "before": // the host stalls before the commit takes effect
+		s.wait()
+	case "late": // the commit takes effect much later
+		w.late = append(w.late, func() { _ = w.table.Commit(ctx, writes) })
+		return unknown
+	case "lost":
+		return unknown
+	case "unanswered":
+		_ = w.table.Commit(ctx, writes)
+		return unknown
+	}
+	err := w.table.Commit(ctx, writes)
+	s.wait()
+	return err
+}
