--- a/core/seats/ask.go
+++ b/core/seats/ask.go
@@ -237,11 +237,15 @@
 	return "", codes.New(codes.SeatLost, "seats: no acting holder of domain %s was found", d)
 }
 
+// findTries is how many hosts of a remote domain Find asks, so that one dead
+// host does not hide the holder.
+const findTries = 3
+
 // Find returns the acting seat holder of a domain, or an error with the code
 // SeatLost or that of the peer. It is safe for concurrent use.
 func (s *Seat) Find(ctx context.Context, d core.DomainID) (core.HostID, error) {
 	if d != s.cfg.Host.Domain {
-		return s.seek(ctx, d)
+		return s.findRemote(ctx, d)
 	}
 	if _, acting := s.Acting(); acting {
 		return s.cfg.Host.Name, nil
@@ -260,6 +264,18 @@
 	return holder, nil
 }
 
+func (s *Seat) findRemote(ctx context.Context, d core.DomainID) (core.HostID, error) {
+	var last error
+	for range findTries {
+		host, err := s.seek(ctx, d)
+		if err == nil {
+			return host, nil
+		}
+		last = err
+	}
+	return "", last
+}
+
 // refresh renews the evidence while it is older than half of the bound. The
 // cheapest source comes first: a host of the own domain, then two remote
 // domains whose evidence may be relayed, then a majority of the domains,
--- a/core/seats/follow.go
+++ b/core/seats/follow.go
@@ -38,13 +38,18 @@
 		return err
 	}
 	v := s.View()
-	candidate := (row{View: v}).names(s.cfg.Host.Name)
+	near := (row{View: v}).names(s.cfg.Host.Name) || s.eligible()
+	if near && !s.near {
+		// This host has not watched the holder so far.
+		s.goodAt = max(s.goodAt, s.now())
+	}
+	s.near = near
 	period := s.bound
-	if candidate || s.eligible() {
+	if near {
 		period = s.period()
 	}
 	if s.every("watch", period) {
-		s.watch(ctx, candidate)
+		s.watch(ctx, near)
 	}
 	if s.eligible() && s.now() >= s.patience(s.View()) && s.every("take", s.period()/2) {
 		return s.take(ctx)
@@ -71,7 +76,7 @@
 		_, err := s.getRow(ctx)
 		return err
 	}
-	if read && s.now()-s.goodAt < 3*s.bound {
+	if read && s.now()-max(s.goodAt, s.nearAt) < 3*s.bound {
 		s.backoff = 0
 		return nil
 	}
@@ -84,14 +89,12 @@
 	return err
 }
 
-// watch asks about the holder. A candidate asks the holder itself; any other
-// host asks one of the candidates, which share that load.
-func (s *Seat) watch(ctx context.Context, candidate bool) {
+// watch asks about the holder. A host that may take the seat asks the holder
+// itself; any other host asks one of the candidates, which share that load.
+func (s *Seat) watch(ctx context.Context, near bool) {
 	v := s.View()
-	if v.Epoch != s.goodFor {
-		s.goodFor, s.goodAt = v.Epoch, s.now()
-	}
-	if !candidate {
+	s.meet(v)
+	if !near {
 		s.askNear(ctx)
 		return
 	}
@@ -127,7 +130,7 @@
 		s.mu.Unlock()
 		return
 	}
-	s.goodAt = s.now()
+	s.nearAt = s.now()
 }
 
 // spread turns a host's name into a number, so that hosts choose differently.
--- a/core/seats/seats.go
+++ b/core/seats/seats.go
@@ -83,8 +83,12 @@
 
 	// The fields below belong to the goroutine of Tick.
 	lastTick time.Duration
-	goodAt   time.Duration // when the holder was last known to act
-	goodFor  uint64        // epoch for which goodAt counts
+	goodAt   time.Duration // when the holder was last known to act, or will
+	freeAt   time.Duration // when the seat was first seen without a holder
+	goodFor  uint64        // epoch for which goodAt and freeAt count
+	free     bool
+	near     bool          // this host watches the holder, because it may take the seat
+	nearAt   time.Duration // when a host of the row last answered
 	due      map[string]time.Duration
 	backoff  time.Duration
 	turn     int
@@ -112,6 +116,9 @@
 		due:      make(map[string]time.Duration),
 		lastTick: cfg.Timer.Now(),
 		goodAt:   cfg.Timer.Now(),
+		freeAt:   cfg.Timer.Now(),
+		nearAt:   cfg.Timer.Now(),
+		free:     true,
 	}
 	s.row.Domain = cfg.Host.Domain
 	if s.cfg.CallTimeout == 0 {
@@ -269,7 +276,7 @@
 	if now-s.lastTick > s.period()+time.Second {
 		// This host was paused, so silence in that time says nothing about
 		// the holder.
-		s.goodAt = now
+		s.goodAt = max(s.goodAt, now)
 	}
 	s.lastTick = now
 	if s.hasLeft() {
--- a/core/seats/take.go
+++ b/core/seats/take.go
@@ -146,9 +146,7 @@
 // the given state over. It only avoids needless takeovers; two holders are
 // kept apart by the waiting time and the promises.
 func (s *Seat) patience(v View) time.Duration {
-	if v.Epoch != s.goodFor {
-		s.goodFor, s.goodAt = v.Epoch, s.now()
-	}
+	s.meet(v)
 	index := s.rank()
 	for i, c := range v.Candidates {
 		if c == s.cfg.Host.Name {
@@ -159,9 +157,9 @@
 	stagger := time.Duration(min(index, 8)) * s.period()
 	switch {
 	case v.Holder == s.cfg.Host.Name:
-		return s.goodAt // an earlier run of this host
+		return 0 // an earlier run of this host
 	case v.Epoch == 0, v.Holder == "":
-		return s.goodAt + stagger
+		return s.freeAt + stagger
 	case s.live()[v.Holder]:
 		// The holder lives but does not act or cannot be reached from here.
 		// A new holder does not act for its waiting time, and a link cut
@@ -173,6 +171,18 @@
 	}
 }
 
+// meet notes a new epoch or a seat that has become free. A new holder gets
+// its waiting time before its silence counts: otherwise a candidate that
+// only the store connects with the others takes the seat back each time
+// before anybody acts.
+func (s *Seat) meet(v View) {
+	if v.Epoch == s.goodFor && (v.Holder == "") == s.free {
+		return
+	}
+	s.goodFor, s.free = v.Epoch, v.Holder == ""
+	s.goodAt, s.freeAt = s.now()+s.wait(), s.now()
+}
+
 func (s *Seat) now() time.Duration { return s.cfg.Timer.Now() }
 
 // repair replaces candidates that are not live, and fills free places.
@@ -259,20 +269,29 @@
 	if err != nil {
 		return false, err
 	}
-	if r.run != s.run {
-		// A pending takeover of this run could still take effect, but it
-		// names a run that no longer acts.
-		return true, nil
+	if r.run == s.run {
+		next := row{View: View{Domain: r.Domain, Epoch: r.Epoch, Candidates: r.others(s.cfg.Host.Name)}}
+		s.mu.Lock()
+		next.clean = s.holding && s.now() >= s.waitEnd
+		s.mu.Unlock()
+		if err := s.write(ctx, next, r.version, uuid.NewString()); err != nil {
+			return false, err
+		}
+		r = next
 	}
-	next := row{View: View{Domain: r.Domain, Epoch: r.Epoch, Candidates: r.others(s.cfg.Host.Name)}}
+	// Otherwise an earlier try has released the seat or another host has
+	// taken it. A takeover of this run that is still under way may take
+	// effect later, but it names a run that no longer acts.
 	s.mu.Lock()
-	next.clean = s.holding && s.now() >= s.waitEnd
+	s.row, s.holding = r, false
 	s.mu.Unlock()
-	if err := s.write(ctx, next, r.version, uuid.NewString()); err != nil {
-		return false, err
+	if r.Holder != "" {
+		return true, nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.row, s.holding = next, false
+	// A question about an epoch that a candidate does not know makes it read
+	// the row at its next tick, where it finds the seat free.
+	s.each(len(r.Candidates), func(i int) {
+		_, _ = s.call(ctx, r.Candidates[i], core.SeatPromise{Domain: r.Domain, Epoch: r.Epoch + 1})
+	})
 	return true, nil
 }
