--- a/core/seats/world_test.go
+++ b/core/seats/world_test.go
@@ -39,6 +39,7 @@
 	accepted map[core.KeyID]time.Duration
 	gone     map[core.HostID]bool
 	depth    int
+	lax      bool   // skips the checks, for measurements of many hosts
 	onStall  func() // called when a stall begins
 	fail     func(format string, args ...any)
 }
@@ -49,7 +50,7 @@
 	w      *world
 	clock  *timer.Manual
 	speed  float64
-	peer   *fakes.Peer
+	peer   simPeer
 	seat   *seats.Seat
 	keys   *keys.Keys
 	ev     *seats.Evidence
@@ -61,6 +62,7 @@
 	commit string        // fault of the next commit
 	stall  time.Duration // length of the next call to the table
 	frozen bool          // the stalled host answers no messages
+	reads  map[core.Space]int
 	known  map[core.KeyID]bool
 	watch  map[core.KeyID]*keys.Watch
 }
@@ -98,7 +100,7 @@
 	speeds := []float64{0.955, 1.045, 1}
 	h := &host{
 		Host: core.Host{Name: name, Domain: d, Incarnation: inc, State: core.HostLive}, w: w, clock: timer.NewManual(),
-		speed: speeds[(int(name[len(name)-1])+int(inc))%3], peer: w.net.Peer(name),
+		speed: speeds[(int(name[len(name)-1])+int(inc))%3], peer: simPeer{w.net.Peer(name), map[core.Kind]int{}}, reads: map[core.Space]int{},
 		known: map[core.KeyID]bool{}, watch: map[core.KeyID]*keys.Watch{},
 	}
 	w.hosts[name] = h
@@ -160,6 +162,10 @@
 			out = append(out, o.Name)
 		}
 	}
+	if n := len(out); w.lax && n > 3 {
+		at := int(h.Name[len(h.Name)-1]) * int(h.Name[len(h.Name)-2]) * 7
+		out = []core.HostID{out[at%n], out[(at*31+17)%n], out[(at*13+5)%n]}
+	}
 	for _, d := range w.domains {
 		if hosts := w.live(h, d); d != h.Domain && len(hosts) > 0 {
 			return append(out, hosts[0].Name)
@@ -236,6 +242,9 @@
 
 // check verifies the rules that must hold at every moment.
 func (w *world) check() {
+	if w.lax {
+		return
+	}
 	acting := map[core.DomainID]core.HostID{}
 	for _, n := range w.names {
 		h := w.hosts[n]
@@ -347,6 +356,17 @@
 	}
 }
 
+// simPeer counts the messages that a host sends.
+type simPeer struct {
+	*fakes.Peer
+	sent map[core.Kind]int
+}
+
+func (p simPeer) Call(ctx context.Context, to core.HostID, m core.Message) (core.Message, error) {
+	p.sent[m.Kind()]++
+	return p.Peer.Call(ctx, to, m)
+}
+
 // simTable is the table as one host reaches it.
 type simTable struct{ h *host }
 
@@ -379,6 +399,7 @@
 }
 
 func (s simTable) Get(ctx context.Context, space core.Space, key string) (core.Row, error) {
+	s.h.reads[space]++
 	if err := s.reach(); err != nil {
 		return core.Row{}, err
 	}
@@ -388,6 +409,7 @@
 }
 
 func (s simTable) List(ctx context.Context, space core.Space, after string, limit int) ([]core.Row, error) {
+	s.h.reads[space]++
 	if err := s.reach(); err != nil || (s.h.noLog && space == core.SpaceWithdrawn) {
 		return nil, codes.New(codes.StoreDown, "sim: list cannot be read")
 	}
