--- a/core/peers.go
+++ b/core/peers.go
@@ -144,12 +144,17 @@
 	Want     Amount // what the host could use
 }
 
-// LoanAsk asks the seat holder for loans and reports those held.
+// LoanAsk asks the seat holder for loans and reports those held from the
+// holder's domain.
 type LoanAsk struct {
 	Host        HostID
 	Incarnation uint64
-	Epoch       uint64 // epoch of the holder that granted what is held
-	Items       []LoanItem
+	// Seq grows with each ask of an incarnation to one domain. A host gives
+	// up an ask before it sends the next, so an ask shows that no answer to
+	// an earlier one will be used; the seat holder refuses late ones.
+	Seq   uint64
+	Epoch uint64 // epoch of the holder that granted what is held
+	Items []LoanItem
 }
 
 // Loan is the amount of one resource lent to a host.
--- /dev/null
+++ b/core/rates/limiter.go
@@ -0,0 +1,270 @@
+package rates
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/core/share"
+)
+
+// Lender is where a Limiter tells its demand; *share.Holder is one.
+type Lender interface {
+	// Want sets what the host could use of a resource.
+	Want(r core.Resource, want core.Amount)
+	// Need asks at once for more of a resource.
+	Need(r core.Resource)
+}
+
+// LimiterConfig configures a Limiter. Timer is required for Wait and Run.
+type LimiterConfig struct {
+	Timer core.Timer
+	// MaxWait bounds the wait for tokens. Zero means 1 s.
+	MaxWait time.Duration
+	// MaxQueue bounds the requests that wait. Zero means 1024.
+	MaxQueue int
+	// Gate, if set, reports whether the host can take one more request out
+	// of the queue. While it cannot, workspaces take turns.
+	Gate func() bool
+	// Retry is the retry-after of a refusal if the loans say nothing: the
+	// time in which an ask for loans is usually answered. Zero means 1 s.
+	Retry time.Duration
+}
+
+// Limiter admits requests against the loans of a host. It is safe for
+// concurrent use.
+type Limiter struct {
+	cfg     LimiterConfig
+	lender  atomic.Pointer[Lender]
+	mu      sync.Mutex // guards changes of index
+	index   atomic.Pointer[index]
+	queueMu sync.Mutex
+	queue   Queue
+}
+
+// index finds buckets without a lock; it is copied for each change.
+type index struct {
+	workspaces map[core.WorkspaceID]*bucket
+	resources  map[core.Resource]*bucket
+}
+
+// NewLimiter returns a Limiter that knows no workspaces.
+func NewLimiter(cfg LimiterConfig) *Limiter {
+	if cfg.MaxWait <= 0 {
+		cfg.MaxWait = time.Second
+	}
+	if cfg.MaxQueue <= 0 {
+		cfg.MaxQueue = 1024
+	}
+	if cfg.Retry <= 0 {
+		cfg.Retry = time.Second
+	}
+	l := &Limiter{cfg: cfg, queue: Queue{Max: cfg.MaxQueue}}
+	l.index.Store(&index{})
+	return l
+}
+
+// Bind sets the lender. It is called before the first request.
+func (l *Limiter) Bind(lender Lender) { l.lender.Store(&lender) }
+
+// Refusal is the error of a refused request. Its code is that of the
+// resource: RateExceeded, ShiftCapped or LinkFull; or QueueFull.
+type Refusal struct {
+	Code     codes.Code
+	Resource core.Resource
+	// After is how long the present loans need until they could admit the
+	// request, if nothing else came. It is LimiterConfig.Retry if they never
+	// could.
+	After time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return "rates: " + string(r.Resource) + " refused, retry after " + r.After.String()
+}
+
+// Unwrap returns the coded error.
+func (r *Refusal) Unwrap() error {
+	return codes.New(r.Code, "rates: %s refused, retry after %s", r.Resource, r.After)
+}
+
+// SetLimits makes the resources of a configuration known and forgets all
+// others. Buckets of known resources keep their tokens.
+func (l *Limiter) SetLimits(limits share.Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.index.Load()
+	next := &index{
+		workspaces: make(map[core.WorkspaceID]*bucket, len(limits.Rates)),
+		resources:  make(map[core.Resource]*bucket, len(limits.Rates)),
+	}
+	for r := range limits.Rates {
+		b := old.resources[r]
+		if b == nil {
+			b = &bucket{resource: r}
+		}
+		next.resources[r] = b
+		if name, ok := strings.CutPrefix(string(r), "rate/"); ok {
+			b.name = core.WorkspaceID(name)
+			next.workspaces[b.name] = b
+		}
+	}
+	l.index.Store(next)
+	for r := range old.resources {
+		if next.resources[r] == nil {
+			l.want(r, core.Amount{})
+		}
+	}
+}
+
+func (l *Limiter) want(r core.Resource, a core.Amount) {
+	if lender := l.lender.Load(); lender != nil {
+		(*lender).Want(r, a)
+	}
+}
+
+// SetLoans replaces the loans of a resource. It fits
+// share.HolderConfig.Changed. Loans of unknown resources are ignored.
+func (l *Limiter) SetLoans(now time.Duration, r core.Resource, parts []share.Part) {
+	if b := l.index.Load().resources[r]; b != nil {
+		b.set(now, parts)
+	}
+}
+
+// Admit decides at once about a request of a workspace; weight is in
+// thousandths of a request. The error is a *Refusal, or carries NoConfig
+// for an unknown workspace and RequestBad for a weight below one. A request
+// never overtakes those of its workspace that wait.
+func (l *Limiter) Admit(now time.Duration, w core.WorkspaceID, weight int64) error {
+	b := l.index.Load().workspaces[w]
+	if b == nil {
+		return codes.New(codes.NoConfig, "rates: workspace %s is not in the configuration", w)
+	}
+	return l.admit(now, b, weight)
+}
+
+// Take decides at once about the use of any rate resource, for example a
+// shift's cap. Errors are those of Admit.
+func (l *Limiter) Take(now time.Duration, r core.Resource, weight int64) error {
+	b := l.index.Load().resources[r]
+	if b == nil {
+		return codes.New(codes.NoConfig, "rates: resource %s is not in the configuration", r)
+	}
+	return l.admit(now, b, weight)
+}
+
+func (l *Limiter) admit(now time.Duration, b *bucket, weight int64) error {
+	if weight < 1 {
+		return codes.New(codes.RequestBad, "rates: weight %d of a request is below 1", weight)
+	}
+	b.mu.Lock()
+	b.demand.offer(now, weight)
+	if b.queued == 0 && b.take(now, weight) {
+		b.mu.Unlock()
+		return nil
+	}
+	after := b.until(weight, b.queued)
+	refusal := l.refuse(b, after)
+	bare := b.burst == 0
+	b.mu.Unlock()
+	if bare {
+		l.want(b.resource, b.wanted())
+	}
+	return refusal
+}
+
+// wanted returns the present want. A resource whose estimate is not yet
+// updated wants at least what was offered.
+func (b *bucket) wanted() core.Amount {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	want := b.demand.want()
+	want.Rate = max(want.Rate, b.demand.offered)
+	return want
+}
+
+// refuse counts a refusal. The bucket is locked.
+func (l *Limiter) refuse(b *bucket, after time.Duration) *Refusal {
+	b.stats.Refused++
+	if b.burst == 0 {
+		b.stats.Bare++
+	}
+	if after == never {
+		after = l.cfg.Retry
+	}
+	return &Refusal{Code: codeOf(b.resource), Resource: b.resource, After: after}
+}
+
+func codeOf(r core.Resource) codes.Code {
+	switch {
+	case strings.HasPrefix(string(r), "shift/"):
+		return codes.ShiftCapped
+	case strings.HasPrefix(string(r), "link/"):
+		return codes.LinkFull
+	default:
+		return codes.RateExceeded
+	}
+}
+
+// Tick updates the demand estimates and tells them to the lender. Its owner
+// calls it every 500 ms or so.
+func (l *Limiter) Tick(now time.Duration) {
+	for r, b := range l.index.Load().resources {
+		b.mu.Lock()
+		before := b.demand.ever
+		b.demand.update(now)
+		want := b.demand.want()
+		b.mu.Unlock()
+		if before || !want.IsZero() {
+			l.want(r, want)
+		}
+	}
+}
+
+// Held returns the rate and burst of the unexpired loans of a workspace.
+func (l *Limiter) Held(now time.Duration, w core.WorkspaceID) core.Amount {
+	b := l.index.Load().workspaces[w]
+	if b == nil {
+		return core.Amount{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	return core.Amount{Rate: b.rate, Burst: b.burst}
+}
+
+// Stats returns the counts of a workspace.
+func (l *Limiter) Stats(w core.WorkspaceID) Stats {
+	b := l.index.Load().workspaces[w]
+	if b == nil {
+		return Stats{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stats
+}
+
+// Run calls Pump and Tick until the context ends. It runs in the caller's
+// goroutine.
+func (l *Limiter) Run(ctx context.Context) {
+	pump := l.cfg.Timer.Subscribe("rates-pump", 10*time.Millisecond)
+	defer pump.Stop()
+	var tick time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pump.C():
+		}
+		now := l.cfg.Timer.Now()
+		l.Pump(now)
+		if now >= tick {
+			l.Tick(now)
+			tick = now + 500*time.Millisecond
+		}
+	}
+}
--- /dev/null
+++ b/core/share/keeper.go
@@ -0,0 +1,370 @@
+package share
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"azurering/core"
+	"azurering/core/codes"
+)
+
+// KeeperConfig configures a Keeper. Domain, Table, Timer, Acting, Check and
+// DomainOf are required.
+type KeeperConfig struct {
+	Domain core.DomainID
+	Table  core.Table
+	Timer  core.Timer
+	// Acting returns the epoch of the seat and whether the host may act in
+	// it now. Epoch 1 is the first of a domain; nobody lent before it.
+	Acting func() (epoch uint64, ok bool)
+	// Check returns the check of the seat row that makes a commit of an
+	// earlier holder fail, and false if there is none.
+	Check func() (core.Write, bool)
+	// DomainOf returns the domain of a host.
+	DomainOf func(core.HostID) (core.DomainID, bool)
+	// Token returns a new random token. Nil means a random UUID.
+	Token func() string
+	// Length is how long a loan lasts at the host. Zero means 12 s.
+	Length time.Duration
+	// Sustain is how long another domain must be short before a part of
+	// the domain's amount is transferred to it. Zero means 10 s.
+	Sustain time.Duration
+	// Interval is the shortest time between two transfers of a resource by
+	// this domain. Zero means 30 s.
+	Interval time.Duration
+	// Refresh is the time between two reads of all rows. Zero means 60 s.
+	Refresh time.Duration
+	// Commits bounds the commits of the domain per second. Zero means 2.
+	Commits float64
+}
+
+func (c KeeperConfig) withDefaults() KeeperConfig {
+	setDefault(&c.Length, 12*time.Second)
+	setDefault(&c.Sustain, 10*time.Second)
+	setDefault(&c.Interval, 30*time.Second)
+	setDefault(&c.Refresh, time.Minute)
+	if c.Commits <= 0 {
+		c.Commits = 2
+	}
+	if c.Token == nil {
+		c.Token = uuid.NewString
+	}
+	return c
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// drift adds the margin for clock drift to a duration that another host
+// counts.
+func drift(d time.Duration) time.Duration { return d + d/10 }
+
+// Keeper owns the amounts of one failure domain while its host acts in the
+// domain's seat: it follows the rows of the table and lends to hosts. It is
+// safe for concurrent use; asks are answered while Step waits for the table.
+type Keeper struct {
+	cfg      KeeperConfig
+	stepping sync.Mutex // serialises Step
+
+	mu       sync.Mutex
+	limits   Limits
+	epoch    uint64
+	entered  bool
+	adopting time.Duration // until then, loans are only renewed
+	accounts map[core.Resource]*account
+	seqs     map[borrower]seen
+	reload   time.Duration // time of the next read of all rows
+	loaded   bool          // all rows were read in this epoch
+	budget   *rate.Limiter
+	stats    KeeperStats
+}
+
+type seen struct {
+	seq uint64
+	at  time.Duration
+}
+
+// KeeperStats counts what a Keeper did.
+type KeeperStats struct {
+	Asks      uint64 // loan asks answered
+	Refused   uint64 // loan asks refused
+	Reads     uint64 // reads of the table
+	Commits   uint64 // commits to the table
+	Transfers uint64 // transfers known to be committed
+	Unknown   uint64 // commits with an unknown outcome
+}
+
+// account is the state of one resource in a keeper.
+type account struct {
+	debts ledger
+	known bool // row, version and token were read or written in this epoch
+	row   Row
+	ver   uint64
+	token string
+	// floor, if set, is the amount that may still be used while a lowering
+	// of the row is prepared or its outcome is unknown.
+	floor   *core.Amount
+	plan    *transfer
+	pending *Row // a write whose outcome is unknown; it expected version ver
+	// short says that the domain's hosts want more than there is.
+	short     bool
+	readAt    time.Duration
+	readGap   time.Duration
+	moveAt    time.Duration // earliest next transfer
+	needSince time.Duration
+	need      core.DomainID
+	missing   time.Duration // when the row was found to be missing
+}
+
+// transfer is a planned transfer to another domain.
+type transfer struct {
+	to    core.DomainID
+	part  core.Amount
+	since time.Duration
+}
+
+// NewKeeper returns a keeper without limits. Its owner registers Handle for
+// loan-ask, calls SetLimits for each configuration version and either Step
+// about once a second or Run.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	cfg = cfg.withDefaults()
+	return &Keeper{
+		cfg:      cfg,
+		accounts: make(map[core.Resource]*account),
+		seqs:     make(map[borrower]seen),
+		budget:   rate.NewLimiter(rate.Limit(cfg.Commits), max(1, int(cfg.Commits*5))),
+	}
+}
+
+// SetLimits sets the limits of a configuration version. An older version
+// than the one in force is ignored.
+func (k *Keeper) SetLimits(l Limits) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l.Version < k.limits.Version {
+		return
+	}
+	k.limits = l
+}
+
+// Handle answers loan-ask. It implements core.Handler.
+func (k *Keeper) Handle(_ context.Context, from core.HostID, m core.Message) (core.Message, error) {
+	ask, ok := m.(core.LoanAsk)
+	if !ok {
+		return nil, codes.New(codes.PeerKind, "share: message of kind %s is not a loan ask", m.Kind())
+	}
+	if ask.Host != from {
+		return nil, codes.New(codes.PeerRefused, "share: loan ask of host %s came from host %s", ask.Host, from)
+	}
+	return k.Ask(ask)
+}
+
+// Ask answers a loan ask. It fails with SeatLost if the host may not act in
+// the seat, and with PeerRefused if a later ask of the host came before.
+func (k *Keeper) Ask(m core.LoanAsk) (core.LoanGrant, error) {
+	epoch, ok := k.cfg.Acting()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !ok || (k.entered && epoch < k.epoch) {
+		k.stats.Refused++
+		return core.LoanGrant{}, codes.New(codes.SeatLost, "share: host does not act in the seat of domain %s", k.cfg.Domain)
+	}
+	now := k.cfg.Timer.Now()
+	k.enter(epoch, now)
+	b := borrower{m.Host, m.Incarnation}
+	if last, ok := k.seqs[b]; ok && m.Seq <= last.seq {
+		k.stats.Refused++
+		return core.LoanGrant{}, codes.New(codes.PeerRefused, "share: loan ask %d of host %s came after ask %d", m.Seq, m.Host, last.seq)
+	}
+	k.seqs[b] = seen{m.Seq, now}
+	k.stats.Asks++
+	grant := core.LoanGrant{Epoch: epoch, Length: k.cfg.Length}
+	domain, _ := k.cfg.DomainOf(m.Host)
+	for _, item := range m.Items {
+		amount := k.lend(now, b, domain, item)
+		grant.Loans = append(grant.Loans, core.Loan{Resource: item.Resource, Amount: amount})
+	}
+	return grant, nil
+}
+
+// enter starts a new epoch. A new holder only renews loans for one loan
+// length, because it does not know what its predecessor lent.
+func (k *Keeper) enter(epoch uint64, now time.Duration) {
+	if k.entered && k.epoch == epoch {
+		return
+	}
+	k.entered, k.epoch = true, epoch
+	k.accounts = make(map[core.Resource]*account)
+	k.loaded, k.reload = false, 0
+	k.adopting = 0
+	if epoch > 1 {
+		k.adopting = now + drift(k.cfg.Length)
+	}
+}
+
+func (k *Keeper) account(r core.Resource) *account {
+	a := k.accounts[r]
+	if a == nil {
+		a = &account{debts: make(ledger)}
+		k.accounts[r] = a
+	}
+	return a
+}
+
+// usable returns what the domain may lend of a resource, and whether that
+// is known.
+func (k *Keeper) usable(r core.Resource, a *account) (core.Amount, bool) {
+	if l, ok := k.limits.Slots[r]; ok {
+		if l.has(k.cfg.Domain) {
+			return l.Amount, true
+		}
+		return core.Amount{}, true
+	}
+	if _, ok := k.limits.Rates[r]; !ok && k.limits.Version > 0 {
+		return core.Amount{}, true
+	}
+	if !a.known {
+		return core.Amount{}, false
+	}
+	amount := a.row.Amounts[k.cfg.Domain]
+	if a.floor != nil {
+		amount = amount.Min(*a.floor)
+	}
+	return amount, true
+}
+
+// lend decides on one item of an ask and records the debt.
+func (k *Keeper) lend(now time.Duration, b borrower, domain core.DomainID, item core.LoanItem) core.Amount {
+	a := k.account(item.Resource)
+	d := a.debts[b]
+	if d == nil {
+		d = &debt{}
+		a.debts[b] = d
+	}
+	// The sequence number makes the report exact: the borrower holds this
+	// much and no answer to an earlier ask can change it.
+	held := item.Held.Max(core.Amount{})
+	*d = debt{domain: domain, amount: held, until: now + drift(k.cfg.Length), want: item.Want, asked: now}
+	amount := k.decide(now, a, b, held, item)
+	d.amount = held.Max(amount)
+	return amount
+}
+
+func (k *Keeper) decide(now time.Duration, a *account, b borrower, held core.Amount, item core.LoanItem) core.Amount {
+	usable, known := k.usable(item.Resource, a)
+	if !known {
+		// The predecessor lowered the row only after its loans had shrunk,
+		// so what is reported fits the amount that is not yet read.
+		a.short = true
+		if now < k.adopting {
+			return held
+		}
+		return core.Amount{}
+	}
+	others := a.debts.lent(now).Sub(held)
+	room := usable.Sub(others).Max(core.Amount{})
+	target := a.debts.target(now, k.cfg.Length, usable, b, k.cfg.Domain)
+	own, _ := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
+	if _, sum := a.debts.wants(own, rateOf); sum > usable.Rate {
+		a.short = true
+	}
+	if now < k.adopting {
+		return held.Min(room)
+	}
+	if keeps(held, target, item.Want) && held.Fits(room) {
+		return held
+	}
+	return target.Min(room)
+}
+
+// keeps reports whether a loan stays as it is because the target differs by
+// less than an eighth. Each shrinking of a loan loses tokens.
+func keeps(held, target, want core.Amount) bool {
+	if held.Slots != target.Slots || held.Rate < want.Rate || target.Rate == 0 {
+		return false
+	}
+	near := func(a, b int64) bool { return max(a-b, b-a)*8 < a }
+	return near(held.Rate, target.Rate) && (held.Burst == target.Burst || near(held.Burst, target.Burst))
+}
+
+// Lent returns the most that hosts may now hold of a resource.
+func (k *Keeper) Lent(r core.Resource) core.Amount {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if a := k.accounts[r]; a != nil {
+		return a.debts.lent(k.cfg.Timer.Now())
+	}
+	return core.Amount{}
+}
+
+// Usable returns what the domain may lend of a resource, and whether the
+// row is known.
+func (k *Keeper) Usable(r core.Resource) (core.Amount, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.usable(r, k.account(r))
+}
+
+// Stats returns the counts so far.
+func (k *Keeper) Stats() KeeperStats {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stats
+}
+
+// Excess is what a domain holds above its part of a lowered limit.
+type Excess struct {
+	Resource core.Resource
+	Domain   core.DomainID
+	Amount   core.Amount
+}
+
+// Pending lists the domains that have not yet lowered their amounts to a
+// lowered limit or a removal from the sheet, as of the last reads.
+func (k *Keeper) Pending() []Excess {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []Excess
+	for r, a := range k.accounts {
+		l, ok := k.limits.Rates[r]
+		if !ok || !a.known {
+			continue
+		}
+		for _, d := range sortedDomains(a.row.Amounts) {
+			amount := a.row.Amounts[d]
+			over := core.Amount{}
+			if p, lowered := a.row.Parts[d]; lowered {
+				over = amount.Sub(p).Max(core.Amount{})
+			}
+			if !l.has(d) {
+				over = amount
+			}
+			if !over.IsZero() {
+				list = append(list, Excess{Resource: r, Domain: d, Amount: over})
+			}
+		}
+	}
+	return list
+}
+
+// Run calls Step once a second until the context ends. It runs in the
+// caller's goroutine.
+func (k *Keeper) Run(ctx context.Context) {
+	ticks := k.cfg.Timer.Subscribe("share-keeper", time.Second)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			k.Step(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/core/share/ledger.go
@@ -0,0 +1,127 @@
+package share
+
+import (
+	"sort"
+	"time"
+
+	"azurering/core"
+)
+
+// borrower is one run of a host. An earlier run of a restarted host counts
+// on its own until its loans expire.
+type borrower struct {
+	host        core.HostID
+	incarnation uint64
+}
+
+// debt is what a keeper knows about the loan of one borrower.
+type debt struct {
+	domain core.DomainID
+	// amount is the most that the borrower may hold until the time until.
+	amount core.Amount
+	until  time.Duration
+	want   core.Amount
+	asked  time.Duration
+}
+
+// ledger holds the debts of one resource.
+type ledger map[borrower]*debt
+
+// lent returns the sum of what borrowers may hold, and forgets borrowers
+// whose loans and wants are past.
+func (l ledger) lent(now time.Duration) core.Amount {
+	var sum core.Amount
+	for b, d := range l {
+		if d.until > now {
+			sum = sum.Add(d.amount)
+			continue
+		}
+		d.amount = core.Amount{}
+		if now-d.asked > time.Minute {
+			delete(l, b)
+		}
+	}
+	return sum
+}
+
+// active lists the borrowers that asked lately, in a fixed order, those of
+// the domain first.
+func (l ledger) active(now, within time.Duration, domain core.DomainID) (own, foreign []borrower) {
+	for b, d := range l {
+		switch {
+		case now-d.asked > within:
+		case d.domain == domain:
+			own = append(own, b)
+		default:
+			foreign = append(foreign, b)
+		}
+	}
+	sortBorrowers(own)
+	sortBorrowers(foreign)
+	return own, foreign
+}
+
+func sortBorrowers(list []borrower) {
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].host != list[j].host {
+			return list[i].host < list[j].host
+		}
+		return list[i].incarnation < list[j].incarnation
+	})
+}
+
+// wants returns the wanted rates or slots of borrowers and their sum.
+func (l ledger) wants(list []borrower, part func(core.Amount) int64) (wants []int64, sum int64) {
+	for _, b := range list {
+		w := max(part(l[b].want), 0)
+		wants = append(wants, w)
+		sum += w
+	}
+	return wants, sum
+}
+
+func rateOf(a core.Amount) int64  { return a.Rate }
+func slotsOf(a core.Amount) int64 { return a.Slots }
+
+// target returns what borrower b should hold of the usable amount. Borrowers
+// of the domain come first, max-min fairly. Half of what they leave over is
+// lent to them as headroom; borrowers of other domains get at most three
+// quarters of it. The rest stays free for the next ask.
+func (l ledger) target(now, within time.Duration, usable core.Amount, b borrower, domain core.DomainID) core.Amount {
+	own, foreign := l.active(now, within, domain)
+	t := core.Amount{
+		Rate:  l.part(usable.Rate, own, foreign, b, rateOf),
+		Slots: l.part(usable.Slots, own, nil, b, slotsOf),
+	}
+	t.Burst = scale(usable.Burst, t.Rate, usable.Rate)
+	if t.Rate > 0 && t.Burst < request {
+		t.Burst = request
+	}
+	return t
+}
+
+func (l ledger) part(usable int64, own, foreign []borrower, b borrower, part func(core.Amount) int64) int64 {
+	wants, _ := l.wants(own, part)
+	parts, spare := Meet(usable, wants)
+	for i, o := range own {
+		if o != b {
+			continue
+		}
+		if wants[i] == 0 {
+			return 0
+		}
+		for _, f := range foreign {
+			spare -= part(l[f].amount)
+		}
+		// Rounded up, so that the only free slot of a server is lent.
+		return parts[i] + Split((max(spare, 0)+1)/2, len(own))[i]
+	}
+	wants, _ = l.wants(foreign, part)
+	parts, _ = Meet(spare*3/4, wants)
+	for i, f := range foreign {
+		if f == b {
+			return parts[i]
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/core/share/rows.go
@@ -0,0 +1,373 @@
+package share
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"time"
+
+	"azurering/core"
+	"azurering/core/codes"
+)
+
+const (
+	listPage   = 500 // rows of one List
+	createPage = 50  // rows of one creating commit, below core.CommitLimit
+	// readsPerStep bounds the single-row reads of one Step, so that 54
+	// domains read at most 270 rows/s for resources that are short.
+	readsPerStep = 5
+	shortGap     = 3 * time.Second
+	shortGapMax  = 10 * time.Second
+	createDelay  = time.Second
+)
+
+// Step reads and writes the rows of the table as far as they are due. It
+// does nothing while the host does not act in the seat. Errors of the table
+// are retried by later steps.
+func (k *Keeper) Step(ctx context.Context) {
+	k.stepping.Lock()
+	defer k.stepping.Unlock()
+	epoch, ok := k.cfg.Acting()
+	if !ok {
+		return
+	}
+	now := k.cfg.Timer.Now()
+	k.mu.Lock()
+	if k.entered && epoch < k.epoch {
+		k.mu.Unlock()
+		return
+	}
+	k.enter(epoch, now)
+	k.prune(now)
+	due, names := now >= k.reload, k.due()
+	k.mu.Unlock()
+	if due && !k.load(ctx, epoch, now) {
+		return
+	}
+	k.create(ctx, epoch, now)
+	reads := 0
+	for _, r := range names {
+		if k.refresh(ctx, epoch, r, now, reads < readsPerStep) {
+			reads++
+		}
+		k.write(ctx, epoch, r, now)
+	}
+}
+
+// prune forgets the sequence numbers of hosts that have not asked for long.
+// A message delayed by ten minutes does not survive its connection.
+func (k *Keeper) prune(now time.Duration) {
+	for b, s := range k.seqs {
+		if now-s.at > 10*time.Minute {
+			delete(k.seqs, b)
+		}
+	}
+}
+
+// due lists the rate resources in a fixed order.
+func (k *Keeper) due() []core.Resource {
+	names := make([]core.Resource, 0, len(k.limits.Rates))
+	for r := range k.limits.Rates {
+		names = append(names, r)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// load reads all rows.
+func (k *Keeper) load(ctx context.Context, epoch uint64, now time.Duration) bool {
+	after := ""
+	for {
+		rows, err := k.cfg.Table.List(ctx, core.SpaceShare, after, listPage)
+		k.mu.Lock()
+		k.stats.Reads++
+		if err != nil || k.epoch != epoch {
+			k.mu.Unlock()
+			return false
+		}
+		for _, row := range rows {
+			k.learn(core.Resource(row.Key), row, now)
+		}
+		if len(rows) < listPage {
+			k.loaded, k.reload = true, now+k.cfg.Refresh
+			k.mu.Unlock()
+			return true
+		}
+		k.mu.Unlock()
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// learn takes over a row that was read. A row that cannot be decoded is
+// left alone; its resource stays without an amount.
+func (k *Keeper) learn(r core.Resource, row core.Row, now time.Duration) (changed bool) {
+	a := k.account(r)
+	if row.Version == 0 || (a.known && row.Version <= a.ver) {
+		return false
+	}
+	decoded, err := DecodeRow(row.Value)
+	if err != nil {
+		return false
+	}
+	if a.pending != nil || a.plan != nil {
+		// A newer version settles the unknown write: it either shows in the
+		// row or can no longer take effect.
+		a.pending, a.plan, a.floor = nil, nil, nil
+	}
+	a.row, a.ver, a.token, a.known, a.missing = decoded, row.Version, row.Token, true, 0
+	a.readGap, a.readAt = shortGap, now+shortGap
+	return true
+}
+
+// refresh reads one row if its domain is short or a write is unknown.
+func (k *Keeper) refresh(ctx context.Context, epoch uint64, r core.Resource, now time.Duration, allowed bool) bool {
+	k.mu.Lock()
+	a := k.accounts[r]
+	if a == nil || !allowed || (a.pending == nil && (!a.short || now < a.readAt)) {
+		k.mu.Unlock()
+		return false
+	}
+	a.short = false
+	a.readGap = min(max(a.readGap*2, shortGap), shortGapMax)
+	a.readAt = now + a.readGap
+	k.mu.Unlock()
+	row, err := k.cfg.Table.Get(ctx, core.SpaceShare, string(r))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stats.Reads++
+	if err == nil && k.epoch == epoch {
+		k.learn(r, row, now)
+	}
+	return true
+}
+
+// create writes the rows that are missing. Domains take turns in the order
+// of the sheet, so that they rarely write the same rows.
+func (k *Keeper) create(ctx context.Context, epoch uint64, now time.Duration) {
+	k.mu.Lock()
+	names, waiting := k.missing(now)
+	if waiting {
+		k.reload = min(k.reload, now+2*time.Second)
+	}
+	var writes []core.Write
+	rows := make(map[core.Resource]Row)
+	for _, r := range names {
+		row := newRow(k.limits.Version, k.limits.Rates[r])
+		body, err := EncodeRow(row)
+		if err != nil {
+			continue
+		}
+		rows[r] = row
+		writes = append(writes, core.Write{Kind: core.WritePut, Space: core.SpaceShare, Key: string(r), Token: k.cfg.Token(), Value: body})
+	}
+	k.mu.Unlock()
+	if len(writes) == 0 {
+		return
+	}
+	err := k.commit(ctx, writes, now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil || k.epoch != epoch {
+		// Whatever happened, the rows are read before they are used.
+		k.reload = 0
+		return
+	}
+	for _, w := range writes {
+		a := k.account(core.Resource(w.Key))
+		a.row, a.ver, a.token, a.known, a.missing = rows[core.Resource(w.Key)], 1, w.Token, true, 0
+	}
+}
+
+func (k *Keeper) missing(now time.Duration) (names []core.Resource, waiting bool) {
+	if !k.loaded {
+		return nil, false
+	}
+	for r, l := range k.limits.Rates {
+		a := k.account(r)
+		rank := slices.Index(l.Domains, k.cfg.Domain)
+		if a.known || rank < 0 {
+			continue
+		}
+		if a.missing == 0 {
+			a.missing = max(now, 1)
+		}
+		if now < a.missing+time.Duration(min(rank, 10))*createDelay {
+			waiting = true
+			continue
+		}
+		names = append(names, r)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names[:min(len(names), createPage)], waiting
+}
+
+// write commits the next change of a row, if there is one and the loans
+// have shrunk enough for it.
+func (k *Keeper) write(ctx context.Context, epoch uint64, r core.Resource, now time.Duration) {
+	k.mu.Lock()
+	a := k.accounts[r]
+	if a == nil || !a.known {
+		k.mu.Unlock()
+		return
+	}
+	next, ok := k.next(r, a, now)
+	if !ok {
+		k.mu.Unlock()
+		return
+	}
+	k.lower(a, next)
+	if !k.mayWrite(a, next, now) {
+		k.mu.Unlock()
+		return
+	}
+	body, err := EncodeRow(next)
+	w := core.Write{Kind: core.WritePut, Space: core.SpaceShare, Key: string(r), Expect: a.ver, ExpectToken: a.token, Token: k.cfg.Token(), Value: body}
+	k.mu.Unlock()
+	if err != nil {
+		return
+	}
+	err = k.commit(ctx, []core.Write{w}, now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.epoch == epoch {
+		k.settle(a, next, w, err, now)
+	}
+}
+
+// mayWrite reports whether the loans fit what the row leaves to the domain.
+// A new holder lowers nothing until the loans of its predecessor, which it
+// does not know, have expired.
+func (k *Keeper) mayWrite(a *account, next Row, now time.Duration) bool {
+	before, after := a.row.Amounts[k.cfg.Domain], next.Amounts[k.cfg.Domain]
+	if before.Fits(after) {
+		return true
+	}
+	return now >= k.adopting && a.debts.lent(now).Fits(after)
+}
+
+// lower stops the use of what a row is about to lose, before the commit.
+func (k *Keeper) lower(a *account, next Row) {
+	floor := next.Amounts[k.cfg.Domain]
+	if a.floor != nil {
+		floor = floor.Min(*a.floor)
+	}
+	a.floor = &floor
+}
+
+// next returns the row to write: the write with an unknown outcome again,
+// then what the limit asks for, then a transfer.
+func (k *Keeper) next(r core.Resource, a *account, now time.Duration) (Row, bool) {
+	if a.pending != nil {
+		// Until a commit on this version has succeeded, the unknown one can
+		// still take effect. The repeated write excludes it.
+		return *a.pending, true
+	}
+	l := k.limits.Rates[r]
+	if row, changed := a.row.reconcile(k.limits.Version, l, k.cfg.Domain); changed {
+		a.plan = nil
+		return row, true
+	}
+	if a.plan == nil {
+		a.plan = k.propose(a, l, now)
+	}
+	if a.plan == nil {
+		a.floor = nil
+		return Row{}, false
+	}
+	if now-a.plan.since > 2*k.cfg.Length {
+		a.plan, a.floor, a.moveAt = nil, nil, now+k.cfg.Interval
+		return Row{}, false
+	}
+	row := a.row.clone()
+	row.Amounts[k.cfg.Domain] = row.Amounts[k.cfg.Domain].Sub(a.plan.part)
+	row.Amounts[a.plan.to] = row.Amounts[a.plan.to].Add(a.plan.part)
+	return row, true
+}
+
+// commit adds the seat check and commits, within the budget.
+func (k *Keeper) commit(ctx context.Context, writes []core.Write, now time.Duration) error {
+	check, ok := k.cfg.Check()
+	if !ok {
+		return codes.New(codes.SeatLost, "share: no check of the seat of domain %s", k.cfg.Domain)
+	}
+	k.mu.Lock()
+	allowed := k.budget.AllowN(time.Unix(0, 0).Add(now), 1)
+	if allowed {
+		k.stats.Commits++
+	}
+	k.mu.Unlock()
+	if !allowed {
+		return codes.New(codes.StoreLimit, "share: commit budget of domain %s is spent", k.cfg.Domain)
+	}
+	return k.cfg.Table.Commit(ctx, append(writes, check))
+}
+
+// settle records the outcome of a commit.
+func (k *Keeper) settle(a *account, next Row, w core.Write, err error, now time.Duration) {
+	moved := a.plan != nil
+	switch codes.Of(err) {
+	case codes.OK:
+		a.row, a.ver, a.token = next, w.Expect+1, w.Token
+		a.pending, a.plan, a.floor = nil, nil, nil
+		if moved {
+			k.stats.Transfers++
+			a.moveAt = now + k.cfg.Interval
+		}
+	case codes.StoreDown, codes.StoreLimit, codes.SeatLost, codes.StoreConflict:
+		// Nothing was written by this commit; an earlier unknown one stays
+		// unknown until its row is read at a newer version.
+		a.short, a.readAt = true, now
+		if a.pending == nil {
+			a.plan, a.floor = nil, nil
+			a.moveAt = max(a.moveAt, now+shortGap)
+		}
+	default:
+		k.stats.Unknown++
+		a.pending = &next
+	}
+}
+
+// propose plans a transfer to the domain whose hosts have borrowed or
+// lacked the most for the time Sustain. The two amounts are divided
+// max-min fairly by the wants of both domains.
+func (k *Keeper) propose(a *account, l Limit, now time.Duration) *transfer {
+	own := a.row.Amounts[k.cfg.Domain]
+	if now < k.adopting || len(a.row.Parts) > 0 || own.Rate == 0 {
+		return nil
+	}
+	to, need := k.neediest(a, l, now)
+	if need == 0 || to != a.need {
+		a.need, a.needSince = to, now
+	}
+	if need == 0 || now-a.needSince < k.cfg.Sustain || now < a.moveAt {
+		return nil
+	}
+	have := a.row.Amounts[to]
+	hosts, _ := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
+	_, want := a.debts.wants(hosts, rateOf)
+	part := own.Rate - Divide(own.Rate+have.Rate, []int64{want, have.Rate + need})[0]
+	if part <= 0 || part*16 < own.Rate {
+		return nil
+	}
+	move := core.Amount{Rate: part, Burst: scale(own.Burst, part, own.Rate) / request * request}
+	// What is not lent moves without a gap for its borrowers.
+	if free := own.Sub(a.debts.lent(now)).Max(core.Amount{}); free.Rate*4 >= part {
+		move = move.Min(core.Amount{Rate: free.Rate, Burst: free.Burst / request * request})
+	}
+	return &transfer{to: to, part: move, since: now}
+}
+
+// neediest returns the domain of the limit whose hosts want the most from
+// this one.
+func (k *Keeper) neediest(a *account, l Limit, now time.Duration) (to core.DomainID, need int64) {
+	_, foreign := a.debts.active(now, k.cfg.Length/2, k.cfg.Domain)
+	needs := make(map[core.DomainID]int64)
+	for _, b := range foreign {
+		d := a.debts[b].domain
+		needs[d] += a.debts[b].want.Rate
+		if l.has(d) && needs[d] > need {
+			to, need = d, needs[d]
+		}
+	}
+	return to, need
+}
