--- a/core/peers.go
+++ b/core/peers.go
@@ -142,6 +142,8 @@
 	Resource Resource
 	Held     Amount // what the host holds now
 	Want     Amount // what the host could use
+	// Moved passes on Loan.Moved to the seat holder of the host's domain.
+	Moved bool
 }
 
 // LoanAsk asks the seat holder for loans and reports those held from the
@@ -161,6 +163,9 @@
 type Loan struct {
 	Resource Resource
 	Amount   Amount
+	// Moved says that a part of the resource was lately transferred to the
+	// domain of the host; its seat holder reads the row when it hears of it.
+	Moved bool
 }
 
 // LoanGrant answers LoanAsk. Each loan replaces what the host held; a
--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -72,6 +71,7 @@
 	mu      sync.Mutex
 	wants   map[core.Resource]core.Amount
 	asked   map[core.Resource]core.Amount // wants that the own domain has been told
+	moved   map[core.Resource]bool        // transfers that the own domain has not been told
 	loans   map[core.Resource][]Part
 	lenders map[core.DomainID]*lender
 	turn    int           // position in the list of other domains
@@ -109,6 +109,7 @@
 		wake:    make(chan struct{}, 1),
 		wants:   make(map[core.Resource]core.Amount),
 		asked:   make(map[core.Resource]core.Amount),
+		moved:   make(map[core.Resource]bool),
 		loans:   make(map[core.Resource][]Part),
 		lenders: make(map[core.DomainID]*lender),
 	}
@@ -192,13 +193,23 @@
 func (h *Holder) Step(ctx context.Context) {
 	h.mu.Lock()
 	now, l := h.cfg.Timer.Now(), h.lender(h.cfg.Domain)
-	due := now >= l.next || (l.urgent && now >= l.last+h.cfg.Gap)
+	due := now >= l.next || (l.urgent && now >= l.last+h.cfg.Gap) || (now >= l.last+h.cfg.Renew/3 && h.short(now))
 	h.mu.Unlock()
 	if due {
 		_, _ = h.ask(ctx, h.cfg.Domain, h.ownItems)
 	}
 }
 
+// short reports whether some loans are below the need.
+func (h *Holder) short(now time.Duration) bool {
+	for r, want := range h.wants {
+		if held := Sum(h.loans[r], now); held.Rate < want.Rate || held.Slots < want.Slots {
+			return true
+		}
+	}
+	return false
+}
+
 // ownItems lists what is held from the own domain and what is wanted.
 func (h *Holder) ownItems(now time.Duration) []core.LoanItem {
 	var items []core.LoanItem
@@ -210,7 +221,8 @@
 			continue
 		}
 		h.asked[r] = want
-		items = append(items, core.LoanItem{Resource: r, Held: held, Want: want})
+		items = append(items, core.LoanItem{Resource: r, Held: held, Want: want, Moved: h.moved[r]})
+		delete(h.moved, r)
 	}
 	return items
 }
@@ -327,25 +339,25 @@
 }
 
 // lack returns the rate that the loans are short of, negative if they are
-// more than is wanted. What is wanted of other domains is the need, a quarter
-// more, and twice the standard deviation of that many random arrivals in a
-// second. Only what the own domain has been asked for counts. Loans without a
+// more than is wanted. Loans between the need and a third more are left as
+// they are: other domains keep what they do not need for those that are
+// short. Only what the own domain has been asked for counts. Loans without a
 // whole request of burst admit nothing and count as short.
 func (h *Holder) lack(r core.Resource, now time.Duration) int64 {
 	need := min(h.wants[r].Rate, h.asked[r].Rate)
-	if need <= 0 {
-		return -Sum(h.loans[r], now).Rate
-	}
-	want := need + need/4 + 2*int64(math.Sqrt(float64(need)*request))
 	held := Sum(h.loans[r], now)
-	lack := want - held.Rate
-	if held.Burst < request {
-		return max(lack, need)
-	}
-	if lack > 0 && lack*16 < want {
+	switch {
+	case need <= 0:
+		return -held.Rate
+	case held.Burst < request:
+		return max(need-held.Rate, need/8, 1)
+	case held.Rate < need+need/16:
+		return need + need/5 - held.Rate
+	case held.Rate > need+need/3:
+		return need + need/3 - held.Rate
+	default:
 		return 0
 	}
-	return lack
 }
 
 // ask sends one ask and applies its answer. It returns by how much the rate
@@ -424,6 +436,10 @@
 		}
 		h.replace(loan.Resource, Part{Lender: d, Amount: loan.Amount, Until: sent + grant.Length}, now)
 		gained += loan.Amount.Rate - held.Rate
+		if loan.Moved {
+			h.moved[loan.Resource] = true
+			h.hurry()
+		}
 		if !held.Fits(loan.Amount) {
 			// The lender may lend the difference once it hears that the
 			// smaller loan has arrived.
--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -120,6 +120,8 @@
 	moveAt    time.Duration // earliest next transfer
 	needSince time.Duration
 	need      core.DomainID
+	movedTo   core.DomainID // receiver of the last transfer
+	movedAt   time.Duration
 	missing   time.Duration // when the row was found to be missing
 }
 
@@ -189,11 +191,18 @@
 	domain, _ := k.cfg.DomainOf(m.Host)
 	for _, item := range m.Items {
 		amount := k.lend(now, b, domain, item)
-		grant.Loans = append(grant.Loans, core.Loan{Resource: item.Resource, Amount: amount})
+		grant.Loans = append(grant.Loans, core.Loan{Resource: item.Resource, Amount: amount, Moved: k.moved(now, item.Resource, domain)})
 	}
 	return grant, nil
 }
 
+// moved reports whether a part was transferred to a domain within the last
+// two renewals, so that at least one answer to each of its hosts says so.
+func (k *Keeper) moved(now time.Duration, r core.Resource, to core.DomainID) bool {
+	a := k.account(r)
+	return to != k.cfg.Domain && a.movedTo == to && now-a.movedAt < k.cfg.Length/2
+}
+
 // enter starts a new epoch. A new holder only renews loans for one loan
 // length, because it does not know what its predecessor lent.
 func (k *Keeper) enter(epoch uint64, now time.Duration) {
@@ -243,6 +252,9 @@
 // lend decides on one item of an ask and records the debt.
 func (k *Keeper) lend(now time.Duration, b borrower, domain core.DomainID, item core.LoanItem) core.Amount {
 	a := k.account(item.Resource)
+	if item.Moved {
+		a.short, a.readAt = true, now
+	}
 	d := a.debts[b]
 	if d == nil {
 		d = &debt{}
--- a/core/share/rows.go
+++ b/core/share/rows.go
@@ -304,14 +304,15 @@
 
 // settle records the outcome of a commit.
 func (k *Keeper) settle(a *account, next Row, w core.Write, err error, now time.Duration) {
-	moved := a.plan != nil
+	moved := a.plan
 	switch codes.Of(err) {
 	case codes.OK:
 		a.row, a.ver, a.token = next, w.Expect+1, w.Token
 		a.pending, a.plan, a.floor = nil, nil, nil
-		if moved {
+		if moved != nil {
 			k.stats.Transfers++
 			a.moveAt = now + k.cfg.Interval
+			a.movedTo, a.movedAt = moved.to, now
 		}
 	case codes.StoreDown, codes.StoreLimit, codes.SeatLost, codes.StoreConflict:
 		// Nothing was written by this commit; an earlier unknown one stays
@@ -346,13 +347,16 @@
 	hosts, _ := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
 	_, want := a.debts.wants(hosts, rateOf)
 	part := own.Rate - Divide(own.Rate+have.Rate, []int64{want, have.Rate + need})[0]
-	if part <= 0 || part*16 < own.Rate {
-		return nil
-	}
 	move := core.Amount{Rate: part, Burst: scale(own.Burst, part, own.Rate) / request * request}
-	// What is not lent moves without a gap for its borrowers.
-	if free := own.Sub(a.debts.lent(now)).Max(core.Amount{}); free.Rate*4 >= part {
-		move = move.Min(core.Amount{Rate: free.Rate, Burst: free.Burst / request * request})
+	if want < own.Rate {
+		// Only what is not lent moves, so that borrowers see no gap; their
+		// loans become free for the next transfer once they hold the moved
+		// part from their own domain.
+		free := own.Sub(a.debts.lent(now)).Max(core.Amount{})
+		move = move.Min(core.Amount{Rate: free.Rate * 3 / 4, Burst: free.Burst * 3 / 4 / request * request})
+	}
+	if move.Rate*16 < own.Rate {
+		return nil
 	}
 	return &transfer{to: to, part: move, since: now}
 }
