--- a/core/peers.go
+++ b/core/peers.go
@@ -178,20 +178,30 @@
 	Resource Resource
 	Held     Amount // what the host holds now
 	Want     Amount // what the host could use
+	// Moved passes on Loan.Moved to the seat holder of the host's domain.
+	Moved bool
 }
 
-// LoanAsk asks the seat holder for loans and reports those held.
+// LoanAsk asks the seat holder for loans and reports those held from the
+// holder's domain.
 type LoanAsk struct {
 	Host        HostID
 	Incarnation uint64
-	Epoch       uint64 // epoch of the holder that granted what is held
-	Items       []LoanItem
+	// Seq grows with each ask of an incarnation to one domain. A host gives
+	// up an ask before it sends the next, so an ask shows that no answer to
+	// an earlier one will be used; the seat holder refuses late ones.
+	Seq   uint64
+	Epoch uint64 // epoch of the holder that granted what is held
+	Items []LoanItem
 }
 
 // Loan is the amount of one resource lent to a host.
 type Loan struct {
 	Resource Resource
 	Amount   Amount
+	// Moved says that a part of the resource was lately transferred to the
+	// domain of the host; its seat holder reads the row when it hears of it.
+	Moved bool
 }
 
 // LoanGrant answers LoanAsk. Each loan replaces what the host held; a
