--- a/io/wire/beat.go
+++ b/io/wire/beat.go
@@ -29,10 +29,20 @@
 	Total  int64
 }
 
+type suspicionWire struct {
+	_           struct{} `cbor:",toarray"`
+	Host        core.HostID
+	Incarnation uint64
+	By          core.HostID
+}
+
 type beatWire struct {
 	_         struct{} `cbor:",toarray"`
 	Host      hostWire
 	Members   []hostWire
+	Suspects  []suspicionWire
+	Joining   bool
+	Logged    uint64
 	Version   uint64
 	Withdrawn uint64
 	StoreAge  time.Duration
@@ -64,7 +74,10 @@
 	}
 	w := &beatWire{
 		Host: host, Version: m.Version, Withdrawn: m.Withdrawn,
-		StoreAge: m.StoreAge, StoreSeen: m.StoreSeen,
+		StoreAge: m.StoreAge, StoreSeen: m.StoreSeen, Joining: m.Joining, Logged: m.Logged,
+	}
+	for _, s := range m.Suspects {
+		w.Suspects = append(w.Suspects, suspicionWire{Host: s.Host, Incarnation: s.Incarnation, By: s.By})
 	}
 	for _, h := range m.Members {
 		member, err := packHost(h)
@@ -104,7 +117,10 @@
 	}
 	m := core.Beat{
 		Host: host, Version: w.Version, Withdrawn: w.Withdrawn,
-		StoreAge: w.StoreAge, StoreSeen: w.StoreSeen,
+		StoreAge: w.StoreAge, StoreSeen: w.StoreSeen, Joining: w.Joining, Logged: w.Logged,
+	}
+	for _, s := range w.Suspects {
+		m.Suspects = append(m.Suspects, core.Suspicion{Host: s.Host, Incarnation: s.Incarnation, By: s.By})
 	}
 	for _, h := range w.Members {
 		member, err := h.host()
--- a/io/wire/loan.go
+++ b/io/wire/loan.go
@@ -18,12 +18,14 @@
 	Resource core.Resource
 	Held     amountWire
 	Want     amountWire
+	Moved    bool
 }
 
 type loanAskWire struct {
 	_           struct{} `cbor:",toarray"`
 	Host        core.HostID
 	Incarnation uint64
+	Seq         uint64
 	Epoch       uint64
 	Items       []loanItemWire
 }
@@ -32,6 +34,7 @@
 	_        struct{} `cbor:",toarray"`
 	Resource core.Resource
 	Amount   amountWire
+	Moved    bool
 }
 
 type loanGrantWire struct {
@@ -50,17 +53,17 @@
 }
 
 func packLoanAsk(m core.LoanAsk) body {
-	w := &loanAskWire{Host: m.Host, Incarnation: m.Incarnation, Epoch: m.Epoch}
+	w := &loanAskWire{Host: m.Host, Incarnation: m.Incarnation, Seq: m.Seq, Epoch: m.Epoch}
 	for _, i := range m.Items {
-		w.Items = append(w.Items, loanItemWire{Resource: i.Resource, Held: packAmount(i.Held), Want: packAmount(i.Want)})
+		w.Items = append(w.Items, loanItemWire{Resource: i.Resource, Held: packAmount(i.Held), Want: packAmount(i.Want), Moved: i.Moved})
 	}
 	return w
 }
 
 func (w *loanAskWire) message() (core.Message, error) {
-	m := core.LoanAsk{Host: w.Host, Incarnation: w.Incarnation, Epoch: w.Epoch}
+	m := core.LoanAsk{Host: w.Host, Incarnation: w.Incarnation, Seq: w.Seq, Epoch: w.Epoch}
 	for _, i := range w.Items {
-		m.Items = append(m.Items, core.LoanItem{Resource: i.Resource, Held: i.Held.amount(), Want: i.Want.amount()})
+		m.Items = append(m.Items, core.LoanItem{Resource: i.Resource, Held: i.Held.amount(), Want: i.Want.amount(), Moved: i.Moved})
 	}
 	return m, nil
 }
@@ -68,7 +71,7 @@
 func packLoanGrant(m core.LoanGrant) (body, error) {
 	w := &loanGrantWire{Epoch: m.Epoch, Length: m.Length}
 	for _, l := range m.Loans {
-		w.Loans = append(w.Loans, loanWire{Resource: l.Resource, Amount: packAmount(l.Amount)})
+		w.Loans = append(w.Loans, loanWire{Resource: l.Resource, Amount: packAmount(l.Amount), Moved: l.Moved})
 	}
 	return w, notNegative("loan length", m.Length)
 }
@@ -76,7 +79,7 @@
 func (w *loanGrantWire) message() (core.Message, error) {
 	m := core.LoanGrant{Epoch: w.Epoch, Length: w.Length}
 	for _, l := range w.Loans {
-		m.Loans = append(m.Loans, core.Loan{Resource: l.Resource, Amount: l.Amount.amount()})
+		m.Loans = append(m.Loans, core.Loan{Resource: l.Resource, Amount: l.Amount.amount(), Moved: l.Moved})
 	}
 	return m, notNegative("loan length", w.Length)
 }
--- a/io/wire/pack.go
+++ b/io/wire/pack.go
@@ -40,14 +40,15 @@
 	case core.WithdrawAck:
 		return &withdrawAckWire{Domain: m.Domain, Host: m.Host, Epoch: m.Epoch, Acting: m.Acting}, nil
 	case core.WithdrawPull:
-		return &withdrawPullWire{}, nil
+		return &withdrawPullWire{After: m.After}, nil
 	case core.Attest:
 		return &attestWire{}, nil
 	case core.Attested:
 		return &attestedWire{
 			Domain: m.Domain, Host: m.Host, Epoch: m.Epoch, Acting: m.Acting,
 			Version: m.Version, Withdrawn: m.Withdrawn,
-		}, nil
+			Holder: m.Holder, Candidates: m.Candidates, Seen: m.Seen, Age: m.Age,
+		}, notNegative("age", m.Age)
 	case core.SeatPromise:
 		return &seatPromiseWire{Domain: m.Domain, Epoch: m.Epoch}, nil
 	case core.SeatPromised:
--- a/io/wire/seat.go
+++ b/io/wire/seat.go
@@ -1,19 +1,27 @@
 package wire
 
-import "azurering/core"
+import (
+	"time"
+
+	"azurering/core"
+)
 
 type attestWire struct {
 	_ struct{} `cbor:",toarray"`
 }
 
 type attestedWire struct {
-	_         struct{} `cbor:",toarray"`
-	Domain    core.DomainID
-	Host      core.HostID
-	Epoch     uint64
-	Acting    bool
-	Version   uint64
-	Withdrawn uint64
+	_          struct{} `cbor:",toarray"`
+	Domain     core.DomainID
+	Host       core.HostID
+	Epoch      uint64
+	Acting     bool
+	Version    uint64
+	Withdrawn  uint64
+	Holder     core.HostID
+	Candidates []core.HostID
+	Seen       bool
+	Age        time.Duration
 }
 
 type seatPromiseWire struct {
@@ -34,7 +42,8 @@
 	return core.Attested{
 		Domain: w.Domain, Host: w.Host, Epoch: w.Epoch, Acting: w.Acting,
 		Version: w.Version, Withdrawn: w.Withdrawn,
-	}, nil
+		Holder: w.Holder, Candidates: w.Candidates, Seen: w.Seen, Age: w.Age,
+	}, notNegative("age", w.Age)
 }
 
 func (w *seatPromiseWire) message() (core.Message, error) {
--- a/io/wire/withdraw.go
+++ b/io/wire/withdraw.go
@@ -11,6 +11,10 @@
 type withdrawPushWire struct {
 	_           struct{} `cbor:",toarray"`
 	Withdrawals []withdrawalWire
+	After       uint64
+	Logged      uint64
+	More        bool
+	Digest      uint64
 }
 
 type withdrawAckWire struct {
@@ -22,11 +26,15 @@
 }
 
 type withdrawPullWire struct {
-	_ struct{} `cbor:",toarray"`
+	_     struct{} `cbor:",toarray"`
+	After uint64
 }
 
 func packWithdrawPush(m core.WithdrawPush) body {
-	w := &withdrawPushWire{Withdrawals: make([]withdrawalWire, 0, len(m.Withdrawals))}
+	w := &withdrawPushWire{
+		Withdrawals: make([]withdrawalWire, 0, len(m.Withdrawals)),
+		After:       m.After, Logged: m.Logged, More: m.More, Digest: m.Digest,
+	}
 	for _, d := range m.Withdrawals {
 		w.Withdrawals = append(w.Withdrawals, withdrawalWire{Key: d.Key, Workspace: d.Workspace})
 	}
@@ -34,7 +42,7 @@
 }
 
 func (w *withdrawPushWire) message() (core.Message, error) {
-	m := core.WithdrawPush{}
+	m := core.WithdrawPush{After: w.After, Logged: w.Logged, More: w.More, Digest: w.Digest}
 	if len(w.Withdrawals) > 0 {
 		m.Withdrawals = make([]core.Withdrawal, 0, len(w.Withdrawals))
 	}
@@ -48,4 +56,6 @@
 	return core.WithdrawAck{Domain: w.Domain, Host: w.Host, Epoch: w.Epoch, Acting: w.Acting}, nil
 }
 
-func (w *withdrawPullWire) message() (core.Message, error) { return core.WithdrawPull{}, nil }
+func (w *withdrawPullWire) message() (core.Message, error) {
+	return core.WithdrawPull{After: w.After}, nil
+}
