--- /dev/null
+++ b/app/entry/beat.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"azurering/core"
+	"azurering/core/member"
+	"azurering/core/rings"
+	"azurering/core/steer"
+)
+
+// beatTimeout bounds one heartbeat: the silence after which a host is
+// suspected leaves room for several.
+const beatTimeout = time.Second
+
+// catchUpQueue bounds the hosts that wait to be pulled from.
+const catchUpQueue = 32
+
+// beater sends heartbeats, answers them, and hands on what they carry.
+type beater struct {
+	self   self
+	timer  core.Timer
+	peers  core.Peers
+	group  *member.Group
+	dir    *directory
+	state  *state
+	pools  *pools
+	steer  *steer.Steer
+	log    logrus.FieldLogger
+	behind *rings.Ring // of pull
+}
+
+// pull asks to catch up with a host.
+type pull struct {
+	from      core.HostID
+	version   uint64
+	withdrawn uint64
+}
+
+type beaterDeps struct {
+	fx.In
+	Self  self
+	Timer core.Timer
+	Peers core.Peers
+	Group *member.Group
+	Dir   *directory
+	State *state
+	Pools *pools
+	Steer *steer.Steer
+	Log   logrus.FieldLogger
+}
+
+func newBeater(d beaterDeps) *beater {
+	b := &beater{
+		self: d.Self, timer: d.Timer, peers: d.Peers, group: d.Group, dir: d.Dir, state: d.State,
+		pools: d.Pools, steer: d.Steer, log: d.Log,
+		behind: rings.New(rings.Config{Name: "catch-up", Size: catchUpQueue}),
+	}
+	d.Peers.Handle(core.KindBeat, b.handle)
+	return b
+}
+
+func runBeater(d *duties, b *beater) {
+	d.every("beat", beatPeriod, func(ctx context.Context) error {
+		b.round(ctx)
+		return nil
+	})
+	d.add(b.runCatchUp)
+}
+
+// fill returns a heartbeat with all that other hosts need.
+func (b *beater) fill(to core.Host) core.Beat {
+	now := b.timer.Now()
+	beat := b.group.Beat(now, to.Name)
+	b.state.Evidence.Fill(now, &beat)
+	b.state.Keys.Fill(&beat)
+	beat.Loads = []core.Load{b.pools.load(now, b.self.Domain, len(b.group.Live(b.self.Domain)))}
+	if to.Domain == b.self.Domain {
+		beat.Probes = b.pools.shared(now)
+	}
+	return beat
+}
+
+func (b *beater) handle(_ context.Context, _ core.HostID, m core.Message) (core.Message, error) {
+	beat := m.(core.Beat)
+	b.receive(beat)
+	return b.fill(beat.Host), nil
+}
+
+// round sends the heartbeats that are due and waits for none of them.
+func (b *beater) round(ctx context.Context) {
+	plan := b.group.Tick(b.timer.Now())
+	b.dir.renew()
+	for _, c := range plan.Changes {
+		b.log.WithFields(logrus.Fields{"event": "member", "member": c.Host.Name, "state": c.Host.State, "was": c.Was}).Info("membership changed")
+	}
+	if len(plan.Changes) > 0 {
+		b.steer.Hosts(b.timer.Now(), b.group.Hosts())
+	}
+	var all sync.WaitGroup
+	for _, h := range plan.Beats {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			b.send(ctx, h)
+		}()
+	}
+	if plan.Paused {
+		b.log.WithField("event", "paused").Warn("host was paused; observations restart")
+	}
+	// The rounds must not wait for a host that does not answer.
+	go all.Wait()
+}
+
+func (b *beater) send(ctx context.Context, h core.Host) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	asked := b.timer.Now()
+	answer, err := b.peers.Call(ctx, h.Name, b.fill(h))
+	if err != nil {
+		return
+	}
+	beat, ok := answer.(core.Beat)
+	if !ok {
+		return
+	}
+	b.receive(beat)
+	// Evidence is relayed inside a domain only: across domains only the
+	// acting seat holders attest.
+	if beat.Host.Domain == b.self.Domain {
+		b.state.Evidence.Merge(asked, beat)
+	}
+}
+
+func (b *beater) receive(beat core.Beat) {
+	now := b.timer.Now()
+	b.group.Receive(now, beat)
+	b.state.Keys.Observe(beat.Host.Name, beat)
+	b.state.Log.Seen(beat.Version)
+	if !b.state.covers(beat.Version, beat.Withdrawn) {
+		// If the ring is full the next heartbeat asks again.
+		_ = b.behind.Offer(pull{from: beat.Host.Name, version: beat.Version, withdrawn: beat.Withdrawn})
+	}
+	b.steer.Measure(now, "", 0, beat.Loads)
+	b.pools.learn(now, beat)
+}
+
+// runCatchUp pulls from hosts that know more than this one.
+func (b *beater) runCatchUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case item := <-b.behind.C():
+			p := item.(pull)
+			if b.state.covers(p.version, p.withdrawn) {
+				continue
+			}
+			if err := b.state.catchUp(ctx, p.from, p.version, p.withdrawn); err != nil {
+				b.log.WithFields(logrus.Fields{"event": "catch-up", "from": p.from, "version": p.version}).WithError(err).Debug("catching up failed")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/app/entry/control.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/fx"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/core/member"
+	"azurering/core/sheet"
+	"azurering/io/admin"
+)
+
+// statusParallel bounds the hosts asked at once for a status.
+const statusParallel = 32
+
+// Control implements admin.Control on the parts of this host. It is safe
+// for concurrent use.
+type Control struct {
+	self   self
+	group  *member.Group
+	state  *state
+	limits *limits
+	pools  *pools
+	beater *beater
+	peers  core.Peers
+}
+
+type controlDeps struct {
+	fx.In
+	Self   self
+	Group  *member.Group
+	State  *state
+	Limits *limits
+	Pools  *pools
+	Beater *beater
+	Peers  core.Peers
+}
+
+func newControl(d controlDeps) *Control {
+	return &Control{
+		self: d.Self, group: d.Group, state: d.State, limits: d.Limits, pools: d.Pools, beater: d.Beater, peers: d.Peers,
+	}
+}
+
+// Sheet implements admin.Control.
+func (c *Control) Sheet() (core.Sheet, uint64) {
+	s := c.state.Log.Current()
+	return s.Sheet, s.Version
+}
+
+// PublishSheet implements admin.Control. Keys that the new sheet dropped
+// are withdrawn.
+func (c *Control) PublishSheet(ctx context.Context, s core.Sheet, base uint64) (admin.Published, error) {
+	for _, k := range s.Keys {
+		if c.state.Keys.Withdrawn(k.Name) {
+			return admin.Published{}, codes.New(codes.SheetInvalid, "entry: key %q was withdrawn; key names are not used again", k.Name)
+		}
+	}
+	result, err := c.state.Log.PublishSheet(ctx, s, base)
+	out := admin.Published{Version: result.Version}
+	if err != nil {
+		return out, err
+	}
+	for _, w := range result.Gone {
+		report, _ := c.withdraw(ctx, w)
+		out.Withdrawn = append(out.Withdrawn, report)
+	}
+	return out, nil
+}
+
+// PublishChange implements admin.Control.
+func (c *Control) PublishChange(ctx context.Context, ch core.Change) (admin.Published, error) {
+	result, err := c.state.Log.PublishChange(ctx, ch, 0)
+	return admin.Published{Version: result.Version}, err
+}
+
+// Withdraw implements admin.Control.
+func (c *Control) Withdraw(ctx context.Context, key core.KeyID) (admin.Withdrawn, error) {
+	for _, k := range c.state.Log.Current().Sheet.Keys {
+		if k.Name == key {
+			return c.withdraw(ctx, core.Withdrawal{Key: key, Workspace: k.Workspace})
+		}
+	}
+	return admin.Withdrawn{Key: key}, codes.New(codes.ChangeInvalid, "entry: no key %q in the configuration", key)
+}
+
+// withdraw reports a withdrawal that is in force but not yet accepted as a
+// result with Accepted false, not as a failure.
+func (c *Control) withdraw(ctx context.Context, w core.Withdrawal) (admin.Withdrawn, error) {
+	r, err := c.state.Keys.Withdraw(ctx, w)
+	out := admin.Withdrawn{Key: w.Key, Durable: r.Durable, Accepted: r.Accepted, InForce: r.InForce, Pending: r.Pending}
+	if codes.Is(err, codes.WithdrawPending) {
+		return out, nil
+	}
+	return out, err
+}
+
+// Withdrawn implements admin.Control.
+func (c *Control) Withdrawn(key core.KeyID) bool { return c.state.Keys.Withdrawn(key) }
+
+// Status implements admin.Control. It asks all known hosts.
+func (c *Control) Status(ctx context.Context) (admin.Status, error) {
+	current := c.state.Log.Current()
+	out := admin.Status{
+		Host: c.self.Name, Version: current.Version, Hosts: c.hosts(ctx),
+		Shifts: current.Sheet.Shifts, Servers: len(current.Sheet.Servers),
+	}
+	for _, r := range current.Sheet.Regions {
+		for _, d := range r.Domains {
+			out.Domains = append(out.Domains, c.domain(ctx, r.Name, d, out.Hosts))
+		}
+	}
+	for _, d := range current.Sheet.Drains {
+		out.Drains = append(out.Drains, c.drain(d))
+	}
+	for _, w := range current.Sheet.Workspaces {
+		out.Shares = append(out.Shares, c.share(w))
+	}
+	return out, nil
+}
+
+// hosts asks each known host for its version and freshness.
+func (c *Control) hosts(ctx context.Context) []admin.HostStatus {
+	list := c.group.Hosts()
+	out := make([]admin.HostStatus, len(list))
+	gate := make(chan struct{}, statusParallel)
+	var all sync.WaitGroup
+	for i, h := range list {
+		out[i].Host = h
+		if h.State == core.HostDead {
+			continue
+		}
+		all.Add(1)
+		gate <- struct{}{}
+		go func() {
+			defer all.Done()
+			c.ask(ctx, &out[i])
+			<-gate
+		}()
+	}
+	all.Wait()
+	return out
+}
+
+func (c *Control) ask(ctx context.Context, h *admin.HostStatus) {
+	if h.Host.Name == c.self.Name {
+		h.Reached = true
+		h.Version = c.state.Log.Current().Version
+		h.Fresh = c.state.Evidence.Fresh(c.beater.timer.Now())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	answer, err := c.peers.Call(ctx, h.Host.Name, c.beater.fill(h.Host))
+	if err != nil {
+		return
+	}
+	if b, ok := answer.(core.Beat); ok {
+		h.Reached, h.Version, h.Fresh = true, b.Version, b.StoreSeen
+	}
+}
+
+func (c *Control) domain(ctx context.Context, r core.RegionID, d core.DomainID, hosts []admin.HostStatus) admin.DomainStatus {
+	out := admin.DomainStatus{Region: r, Domain: d}
+	for _, h := range hosts {
+		if h.Host.Domain != d || h.Host.State == core.HostDead {
+			continue
+		}
+		out.Hosts++
+		if !h.Reached {
+			continue
+		}
+		if out.Reached == 0 || h.Version < out.Version {
+			out.Version = h.Version
+		}
+		out.Reached++
+	}
+	if d == c.self.Domain {
+		load := c.pools.load(c.beater.timer.Now(), d, out.Hosts)
+		out.Free, out.Total = load.Free, load.Total
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	if holder, err := c.state.Seat.Find(ctx, d); err == nil {
+		out.Holder = holder
+	}
+	if d == c.self.Domain {
+		_, out.Epoch = c.state.Seat.Holder()
+	}
+	return out
+}
+
+func (c *Control) drain(d core.Drain) admin.DrainStatus {
+	out := admin.DrainStatus{Kind: d.Kind, Target: d.Target, Mode: d.Mode, Within: d.Within, Phase: "draining"}
+	s := c.state.Log.Current().Sheet
+	for _, v := range s.Servers {
+		if drainedServers(core.Sheet{Drains: []core.Drain{d}, Servers: s.Servers}, c.self.Domain)[v.Name] {
+			out.Left += c.pools.inFlight(v.Name)
+		}
+	}
+	if out.Left == 0 {
+		out.Phase = "drained"
+	}
+	return out
+}
+
+func (c *Control) share(w core.Workspace) admin.ShareStatus {
+	r := core.RateResource(w.Name)
+	out := admin.ShareStatus{
+		Workspace: w.Name, Limit: core.Amount{Rate: w.Rate, Burst: w.Burst},
+		Host: c.limits.limiter.Held(c.beater.timer.Now(), w.Name),
+	}
+	if usable, ok := c.limits.keeper.Usable(r); ok {
+		out.Domain = usable
+	}
+	return out
+}
+
+// newGuard refuses drains and stops that would leave a service without any
+// server that takes new work.
+func newGuard() guard {
+	return func(s core.Sheet, ch core.Change) error {
+		if ch.Kind != core.ChangeDrain {
+			return nil
+		}
+		next, err := sheet.Apply(s, ch)
+		if err != nil {
+			return err
+		}
+		return everyServiceServes(next)
+	}
+}
+
+func everyServiceServes(s core.Sheet) error {
+	drained := make(map[core.ServerID]bool)
+	for _, d := range sheet.Domains(s) {
+		for id := range drainedServers(s, d) {
+			drained[id] = true
+		}
+	}
+	serves := make(map[core.ServiceID]bool)
+	for _, v := range s.Servers {
+		if !drained[v.Name] {
+			serves[v.Service] = true
+		}
+	}
+	for _, v := range s.Servers {
+		if !serves[v.Service] {
+			return codes.New(codes.ChangeInvalid, "entry: no backend server of service %s would be left", v.Service)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/app/entry/limits.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"azurering/core"
+	"azurering/core/config"
+	"azurering/core/member"
+	"azurering/core/rates"
+	"azurering/core/share"
+	"azurering/core/sheet"
+	"azurering/io/setup"
+)
+
+// rateWait bounds how long a request waits for tokens of its workspace. It
+// covers an ask for a loan inside the region.
+const rateWait = 500 * time.Millisecond
+
+var limitModule = fx.Module("limits",
+	fx.Provide(newLimits, newKeeper, newHolder, newLimiter),
+	fx.Invoke(runLimits),
+)
+
+func newLimiter(t core.Timer) *rates.Limiter {
+	return rates.NewLimiter(rates.LimiterConfig{Timer: t})
+}
+
+func newKeeper(s setup.Settings, t core.Timer, table core.Table, st *state, d *directory, p core.Peers, h *hub) *share.Keeper {
+	k := share.NewKeeper(share.KeeperConfig{
+		Domain: s.Domain, Table: table, Timer: t, Acting: st.Seat.Acting, Check: st.Seat.Fence,
+		DomainOf: d.domainOf, Length: s.Loan,
+	})
+	p.Handle(core.KindLoanAsk, k.Handle)
+	h.subscribe(func(c config.State) { k.SetLimits(share.LimitsOf(c.Version, c.Sheet)) })
+	return k
+}
+
+// limits joins the parts that know what this host may use.
+type limits struct {
+	keeper  *share.Keeper
+	holder  *share.Holder
+	limiter *rates.Limiter
+}
+
+func newLimits(k *share.Keeper, h *share.Holder, l *rates.Limiter, hb *hub) *limits {
+	l.Bind(h)
+	hb.subscribe(func(c config.State) { l.SetLimits(share.LimitsOf(c.Version, c.Sheet)) })
+	return &limits{keeper: k, holder: h, limiter: l}
+}
+
+type holderDeps struct {
+	fx.In
+	Settings setup.Settings
+	Self     self
+	Timer    core.Timer
+	Peers    core.Peers
+	State    *state
+	Group    *member.Group
+	Dir      *directory
+	Keeper   *share.Keeper
+	Limiter  *rates.Limiter
+	Slots    *slotUse
+}
+
+func newHolder(d holderDeps) *share.Holder {
+	finder := newFinder(d.State, d.Self.Domain, d.Timer.Now)
+	return share.NewHolder(share.HolderConfig{
+		Host: d.Self.Name, Incarnation: d.Self.Incarnation, Domain: d.Self.Domain,
+		Peers: d.Peers, Timer: d.Timer, Seat: finder.find, Local: d.Keeper.Ask,
+		Lenders: func() []core.DomainID { return otherDomains(d.State.Log.Current().Sheet, d.Self.Domain) },
+		Changed: func(now time.Duration, r core.Resource, parts []share.Part) {
+			if strings.HasPrefix(string(r), "slots/") {
+				d.Slots.changed(now)
+				return
+			}
+			d.Limiter.SetLoans(now, r, parts)
+		},
+		InUse: d.Slots.inUse, Renew: d.Settings.Loan / 4,
+	})
+}
+
+// otherDomains returns the other domains, those of the own region first.
+func otherDomains(s core.Sheet, own core.DomainID) []core.DomainID {
+	region := sheet.RegionOf(s, own)
+	var near, far []core.DomainID
+	for _, r := range s.Regions {
+		for _, d := range r.Domains {
+			switch {
+			case d == own:
+			case r.Name == region:
+				near = append(near, d)
+			default:
+				far = append(far, d)
+			}
+		}
+	}
+	return append(near, far...)
+}
+
+func runLimits(d *duties, l *limits) {
+	d.add(l.keeper.Run)
+	d.add(l.holder.Run)
+	d.add(l.limiter.Run)
+}
+
+// finderLife is how long a found seat holder of another domain is used
+// before it is looked for again.
+const finderLife = 10 * time.Second
+
+// finder finds seat holders for loans.
+type finder struct {
+	seat *state
+	own  core.DomainID
+	now  func() time.Duration
+
+	mu    sync.Mutex
+	known map[core.DomainID]found
+}
+
+type found struct {
+	host core.HostID
+	at   time.Duration
+}
+
+func newFinder(s *state, own core.DomainID, now func() time.Duration) *finder {
+	return &finder{seat: s, own: own, now: now, known: make(map[core.DomainID]found)}
+}
+
+// find returns the host that is thought to hold the seat of a domain. For
+// another domain it may ask there, which takes up to a heartbeat timeout.
+func (f *finder) find(d core.DomainID) (core.HostID, bool) {
+	if d == f.own {
+		holder, _ := f.seat.Seat.Holder()
+		return holder, holder != ""
+	}
+	f.mu.Lock()
+	last, ok := f.known[d]
+	f.mu.Unlock()
+	if ok && f.now()-last.at < finderLife {
+		return last.host, last.host != ""
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
+	defer cancel()
+	host, err := f.seat.Seat.Find(ctx, d)
+	if err != nil {
+		host = ""
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known[d] = found{host: host, at: f.now()}
+	return host, host != ""
+}
--- /dev/null
+++ b/app/entry/platform.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/sirupsen/logrus"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/io/bucket"
+	"azurering/io/dynamo"
+	"azurering/io/metric"
+	"azurering/io/roster"
+	"azurering/io/setup"
+)
+
+var platformModule = fx.Module("platform", fx.Provide(newTable, newObjects, newRoster))
+
+func newTable(s setup.Settings, m *metric.Metrics) (core.Table, error) {
+	return dynamo.New(dynamo.Config{
+		Endpoint: s.Platform.Table, Region: s.Platform.Region, Table: s.Platform.Name,
+		AccessKey: s.Platform.Access, SecretKey: s.Platform.Secret, Timeout: s.Platform.Timeout,
+		Count: func(op dynamo.Op, _ int, code codes.Code) { m.Store("table-"+string(op), code) },
+	})
+}
+
+func newObjects(s setup.Settings, m *metric.Metrics) (core.Objects, error) {
+	return bucket.New(bucket.Config{
+		Endpoint: s.Platform.Objects, Region: s.Platform.Region, Bucket: s.Platform.Bucket,
+		AccessKey: s.Platform.Access, SecretKey: s.Platform.Secret,
+		Count: func(op bucket.Op, _ int, code codes.Code) { m.Store("object-"+string(op), code) },
+	})
+}
+
+func newRoster(s setup.Settings, m *metric.Metrics, log logrus.FieldLogger) (*roster.Roster, error) {
+	return roster.New(roster.Config{
+		URL: s.Platform.Hosts, Token: s.Platform.Access, Timeout: s.Platform.Timeout, Log: log,
+		Count: func(op roster.Op, _ int, code codes.Code) { m.Store("roster-"+string(op), code) },
+	})
+}
--- /dev/null
+++ b/app/entry/serve.go
@@ -0,0 +1,294 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"golang.org/x/net/netutil"
+
+	"azurering/core"
+	"azurering/core/config"
+	"azurering/core/flow"
+	"azurering/core/member"
+	"azurering/core/order"
+	"azurering/core/sheet"
+	"azurering/core/steer"
+	"azurering/io/admin"
+	"azurering/io/caller"
+	"azurering/io/metric"
+	"azurering/io/peers"
+	"azurering/io/relay"
+	"azurering/io/server"
+	"azurering/io/setup"
+)
+
+const planPeriod = time.Second
+
+var serveModule = fx.Module("serve",
+	fx.Provide(
+		newSlotUse, newPools, newServers, newSteer, newBeater, newOrders, newDesk, newRemote, newFlow,
+		newControl, newGuard, newStopper, newListeners,
+	),
+	fx.Invoke(runBeater, runPools, runSteer, runOrders, runDesk, runListeners),
+)
+
+func newServers(lc fx.Lifecycle, t core.Timer) core.Servers {
+	c := server.New(server.Config{Timer: t})
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
+
+func newSteer(s self, set setup.Settings, t core.Timer, h *hub) *steer.Steer {
+	st := steer.New(steer.Config{
+		Self: core.Host(s), Sheet: &core.Sheet{}, Hosts: []core.Host{core.Host(s)}, Now: t.Now(), Life: set.Lifetime,
+	})
+	h.subscribe(func(c config.State) { st.Apply(t.Now(), &c.Sheet) })
+	return st
+}
+
+func runSteer(d *duties, st *steer.Steer, g *member.Group, t core.Timer) {
+	d.every("plan", planPeriod, func(context.Context) error {
+		st.Hosts(t.Now(), g.Hosts())
+		st.Plan(t.Now())
+		return nil
+	})
+}
+
+func newOrders(s setup.Settings, own self, table core.Table, objects core.Objects, p core.Peers, t core.Timer, d *directory, st *state) *order.Orders {
+	return order.New(order.Config{
+		Table: table, Objects: objects, Peers: p, Timer: t, Host: own.Name, Incarnation: own.Incarnation,
+		Alive: d.alive, Retention: s.Retention,
+		// The acting seat holder of the first domain deletes expired records.
+		Sweep: func() bool {
+			domains := st.domains()
+			_, acting := st.Seat.Acting()
+			return acting && len(domains) > 0 && domains[0] == own.Domain
+		},
+	})
+}
+
+func runOrders(d *duties, o *order.Orders) { d.add(o.Run) }
+
+func newDesk(s setup.Settings, p core.Peers, t core.Timer, pl *pools, servers core.Servers, log logrus.FieldLogger) *relay.Desk {
+	return relay.NewDesk(relay.DeskConfig{
+		Timer: t, Peers: p, Offer: pl.offer, Servers: servers, Credential: s.Peer.Secret, MaxBody: s.Limits.Body, Log: log,
+	})
+}
+
+func runDesk(d *duties, desk *relay.Desk) {
+	d.every("tickets", time.Second, func(context.Context) error {
+		desk.Expire()
+		return nil
+	})
+}
+
+type remoteDeps struct {
+	fx.In
+	Settings setup.Settings
+	Self     self
+	Timer    core.Timer
+	Peers    core.Peers
+	Group    *member.Group
+	State    *state
+	Steer    *steer.Steer
+	Limits   *limits
+}
+
+// newRemote returns the way to hosts of other domains, best domain first.
+func newRemote(lc fx.Lifecycle, d remoteDeps) (core.Remote, error) {
+	config, err := mutualTLS(d.Settings.Peer)
+	if err != nil {
+		return nil, err
+	}
+	c := server.New(server.Config{Timer: d.Timer, TLS: config})
+	lc.Append(fx.StopHook(c.Close))
+	return relay.NewClient(relay.ClientConfig{
+		Region: func() core.RegionID {
+			return sheet.RegionOf(d.State.Log.Current().Sheet, d.Self.Domain)
+		},
+		Peers:   d.Peers,
+		Servers: c, Credential: d.Settings.Peer.Secret,
+		Targets: func(service core.ServiceID, class core.Class) []core.Host {
+			var out []core.Host
+			for _, domain := range d.Steer.Spill(service, class, nil) {
+				out = append(out, firstHosts(d.Group.Live(domain), 1)...)
+			}
+			return out
+		},
+		Refused: func(service core.ServiceID, h core.Host) { d.Steer.Refused(d.Timer.Now(), service, h.Domain) },
+		Budget:  func(h core.Host, class core.Class) error { return linkBudget(d, h, class) },
+	}), nil
+}
+
+// classKilobits is the budget that a request takes from a link, by class:
+// what an answer of that class usually weighs.
+var classKilobits = map[core.Class]int64{
+	core.ClassLookup: 64, core.ClassOrder: 64, core.ClassDownload: 16_000,
+}
+
+func linkBudget(d remoteDeps, h core.Host, class core.Class) error {
+	s := d.State.Log.Current().Sheet
+	from, to := sheet.RegionOf(s, d.Self.Domain), sheet.RegionOf(s, h.Domain)
+	if from == to || !hasLink(s, from, to) {
+		return nil
+	}
+	now := d.Timer.Now()
+	err := d.Limits.limiter.Take(now, core.LinkResource(from, to), classKilobits[class])
+	d.Steer.LinkShort(now, to, err != nil)
+	return err
+}
+
+func hasLink(s core.Sheet, a, b core.RegionID) bool {
+	for _, l := range s.Links {
+		if (l.From == a && l.To == b) || (l.From == b && l.To == a) {
+			return true
+		}
+	}
+	return false
+}
+
+type flowDeps struct {
+	fx.In
+	Self    self
+	Timer   core.Timer
+	State   *state
+	Limits  *limits
+	Steer   *steer.Steer
+	Pools   *pools
+	Orders  *order.Orders
+	Servers core.Servers
+	Remote  core.Remote
+}
+
+func newFlow(d flowDeps) *flow.Flow {
+	return flow.New(flow.Config{
+		Timer: d.Timer, Keys: keyChecker{d.State.Keys}, Rates: admitter{d.Limits.limiter},
+		Shifts: shiftGate{self: d.Self, timer: d.Timer, state: d.State, steer: d.Steer, limiter: d.Limits.limiter},
+		Pool:   d.Pools, Orders: orderBook{orders: d.Orders, timer: d.Timer}, Server: d.Servers, Remote: d.Remote,
+	})
+}
+
+// listeners are the HTTP servers of the host.
+type listeners struct {
+	caller *http.Server
+	peer   *http.Server
+	admin  *http.Server
+}
+
+type listenerDeps struct {
+	fx.In
+	Settings setup.Settings
+	Log      logrus.FieldLogger
+	Metrics  *metric.Metrics
+	State    *state
+	Steer    *steer.Steer
+	Stopper  *stopper
+	Flow     *flow.Flow
+	Peers    *peers.Peers
+	Desk     *relay.Desk
+	Control  *Control
+}
+
+func newListeners(d listenerDeps) *listeners {
+	h := caller.New(caller.Config{
+		State: d.State.Log.Current, Ready: d.State.Log.Ready, Leaving: d.Stopper.refusing,
+		Lookup: func(a netip.Addr, s core.ServiceID) ([]caller.Place, time.Duration, error) {
+			return look(d.Steer, a, s)
+		},
+		KnownKey: d.State.Keys.Known, Flow: d.Flow, Metrics: d.Metrics, Log: d.Log,
+		MaxBody: d.Settings.Limits.Body, Slow: d.Settings.Limits.Slow,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(peers.Path, d.Peers.Handler())
+	mux.Handle(relay.Path, d.Desk)
+	operators := admin.New(admin.Config{Control: d.Control, Secret: d.Settings.Admin.Secret, Metrics: d.Metrics.Handler(), Log: d.Log})
+	limits := d.Settings.Limits
+	l := &listeners{
+		caller: caller.Server(context.Background(), h, limits.Header, limits.Slow),
+		peer:   &http.Server{Handler: mux, ReadHeaderTimeout: limits.Slow, MaxHeaderBytes: limits.Header},
+		admin:  &http.Server{Handler: operators, ReadHeaderTimeout: limits.Slow, MaxHeaderBytes: limits.Header},
+	}
+	d.Stopper.servers = l
+	return l
+}
+
+func look(s *steer.Steer, a netip.Addr, service core.ServiceID) ([]caller.Place, time.Duration, error) {
+	answer, err := s.Look(service, a, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	out := make([]caller.Place, 0, len(answer.Hosts))
+	for _, h := range answer.Hosts {
+		out = append(out, caller.Place{Host: h.Name, Domain: h.Domain, Address: h.Caller})
+	}
+	return out, answer.Life, nil
+}
+
+// runListeners opens the listeners at the start. The stopper closes the
+// callers' listener; the others close last, because the hand-over needs them.
+func runListeners(lc fx.Lifecycle, cfg Config, l *listeners, st *stopper) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return l.start(cfg) },
+		OnStop: func(ctx context.Context) error {
+			st.run(ctx)
+			_ = l.caller.Close()
+			_ = l.admin.Close()
+			return l.peer.Close()
+		},
+	})
+}
+
+func (l *listeners) start(cfg Config) error {
+	s := cfg.Settings
+	for _, one := range []struct {
+		server *http.Server
+		at     setup.Listener
+		conns  int
+		mutual bool
+	}{
+		{l.caller, s.Caller, s.Limits.Conns, false},
+		{l.peer, s.Peer, 0, true},
+		{l.admin, s.Admin, 0, s.Admin.CA != ""},
+	} {
+		lis, err := cfg.Listen("tcp", one.at.Listen)
+		if err != nil {
+			return err
+		}
+		if one.conns > 0 {
+			lis = netutil.LimitListener(lis, one.conns)
+		}
+		lis, err = secure(lis, one.at, one.mutual)
+		if err != nil {
+			return err
+		}
+		go serve(one.server, lis, cfg.Log)
+	}
+	cfg.Log.WithFields(logrus.Fields{
+		"event": "started", "domain": s.Domain, "caller": s.Caller.Listen, "peer": s.Peer.Listen, "admin": s.Admin.Listen,
+	}).Info("entry host started")
+	return nil
+}
+
+// secure wraps a listener in TLS if it has a certificate.
+func secure(lis net.Listener, at setup.Listener, mutual bool) (net.Listener, error) {
+	config, err := mutualTLS(at)
+	if err != nil || config == nil {
+		return lis, err
+	}
+	if !mutual {
+		config.ClientAuth = tls.NoClientCert
+	}
+	return tls.NewListener(lis, config), nil
+}
+
+func serve(s *http.Server, lis net.Listener, log logrus.FieldLogger) {
+	if err := s.Serve(lis); err != nil && err != http.ErrServerClosed {
+		log.WithField("event", "listener").WithError(err).Error("listener failed")
+	}
+}
--- a/core/flow.go
+++ b/core/flow.go
@@ -58,9 +58,17 @@
 	// Acquire waits for a slot until the context ends. Its error carries
 	// NoServer, NoCapacity or LoadShed.
 	Acquire(ctx context.Context, p Pick) (Slot, error)
-	// Retry reports whether the retry budget of the service allows another
-	// attempt, and takes it.
-	Retry(service ServiceID) bool
+	// Retry reports whether a failed request may be tried again under the
+	// retry budget of its service, and waits the pause before the next try.
+	Retry(ctx context.Context, a Attempt) bool
+}
+
+// Attempt describes a failed try of a request.
+type Attempt struct {
+	Service ServiceID
+	Kind    RouteKind
+	State   SendState
+	Tries   int // tries so far
 }
 
 // Remote sends requests through hosts of other failure domains. It is safe
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -61,7 +61,7 @@
 	return &slot{lab: l, server: core.Server{Name: core.ServerID(string(rune('a' + len(p.Tried))))}}, nil
 }
 
-func (l *lab) Retry(core.ServiceID) bool {
+func (l *lab) Retry(context.Context, core.Attempt) bool {
 	l.retries--
 	return l.retries >= 0
 }
--- a/core/flow/send.go
+++ b/core/flow/send.go
@@ -17,16 +17,17 @@
 func (f *Flow) send(ctx context.Context, route core.Route, grant core.Grant, r core.Request) (core.Response, error) {
 	pick := core.Pick{Workspace: grant.Workspace, Service: r.Service}
 	var last *core.SendError
-	for try := 0; try < maxTries; try++ {
-		if try > 0 && !f.cfg.Pool.Retry(r.Service) {
-			break
-		}
+	for try := 1; ; try++ {
 		resp, server, err := f.sendOnce(ctx, grant, pick, r)
 		if err == nil {
 			return resp, nil
 		}
 		last = worse(last, err)
-		if server == "" || !mayRetry(route, last.State) || ctx.Err() != nil {
+		if server == "" || try == maxTries || !mayRetry(route, last.State) || ctx.Err() != nil {
+			break
+		}
+		attempt := core.Attempt{Service: r.Service, Kind: route.Kind, State: last.State, Tries: try}
+		if !f.cfg.Pool.Retry(ctx, attempt) {
 			break
 		}
 		pick.Tried = append(pick.Tried, server)
--- /dev/null
+++ b/core/keys/known.go
@@ -0,0 +1,13 @@
+package keys
+
+import "crypto/sha256"
+
+// Known reports whether a text is a key of the configuration, valid or
+// withdrawn. It serves to keep keys out of what leaves the host.
+func (k *Keys) Known(text string) bool {
+	if text == "" || len(text) > maxKey {
+		return false
+	}
+	hash := sha256.Sum256([]byte(text))
+	return k.index.Load().find(&hash) != nil
+}
--- a/core/peers.go
+++ b/core/peers.go
@@ -75,6 +75,14 @@
 	By          HostID
 }
 
+// Probed is the result of a probe that a host made for its failure domain.
+type Probed struct {
+	Server ServerID
+	Age    time.Duration // since the probe's answer
+	Failed bool          // there was no answer; Health does not count
+	Health Health
+}
+
 // Beat is a heartbeat, and the answer to one.
 type Beat struct {
 	Host    Host
@@ -96,6 +104,7 @@
 	StoreSeen bool // false if the sender is not fresh; StoreAge does not count
 	Ages      []Age
 	Loads     []Load
+	Probes    []Probed // of the sender, for hosts of its domain
 }
 
 // ConfigPull asks for the entries after a version.
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -52,7 +52,7 @@
 
 func (l *lab) Acquire(context.Context, core.Pick) (core.Slot, error) { return l, nil }
 
-func (l *lab) Retry(core.ServiceID) bool { return false }
+func (l *lab) Retry(context.Context, core.Attempt) bool { return false }
 
 func (l *lab) Server() core.Server { return core.Server{} }
 
--- /dev/null
+++ b/io/relay/client.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"azurering/core"
+	"azurering/core/codes"
+)
+
+// maxAsks bounds the hosts asked for a slot for one request: each refusal
+// costs a round trip between domains.
+const maxAsks = 3
+
+// ClientConfig configures a Client. All fields are required.
+type ClientConfig struct {
+	Region func() core.RegionID // the own region
+	Peers  core.Peers
+	// Targets returns hosts of other domains to ask, best first.
+	Targets func(service core.ServiceID, class core.Class) []core.Host
+	// Refused is told that a host had no slot.
+	Refused func(service core.ServiceID, h core.Host)
+	// Budget takes a request to a domain from the link budget. Its error
+	// carries LinkFull.
+	Budget  func(h core.Host, class core.Class) error
+	Servers core.Servers // sends HTTP to the peer listeners
+	// Credential is sent with each forwarded request, if set.
+	Credential string
+}
+
+// Client implements core.Remote. It is safe for concurrent use.
+type Client struct {
+	cfg ClientConfig
+}
+
+var _ core.Remote = (*Client)(nil)
+
+// NewClient returns a client.
+func NewClient(cfg ClientConfig) *Client { return &Client{cfg: cfg} }
+
+// Send implements core.Remote.
+func (c *Client) Send(ctx context.Context, r core.Request, class core.Class) (core.Response, error) {
+	cause := codes.New(codes.NoCapacity, "relay: no other failure domain has a slot for service %s", r.Service)
+	for i, h := range c.cfg.Targets(r.Service, class) {
+		if i == maxAsks {
+			break
+		}
+		if err := c.cfg.Budget(h, class); err != nil {
+			cause = err
+			continue
+		}
+		ticket, err := c.reserve(ctx, h, r.Service, class)
+		if err != nil {
+			c.cfg.Refused(r.Service, h)
+			continue
+		}
+		return c.forward(ctx, h, ticket, r)
+	}
+	return core.Response{}, &core.SendError{State: core.SendNone, Cause: cause}
+}
+
+func (c *Client) reserve(ctx context.Context, h core.Host, service core.ServiceID, class core.Class) (string, error) {
+	answer, err := c.cfg.Peers.Call(ctx, h.Name, core.Reserve{Service: service, Class: class, From: c.cfg.Region()})
+	if err != nil {
+		return "", err
+	}
+	reserved, ok := answer.(core.Reserved)
+	if !ok || !reserved.Given {
+		return "", codes.New(codes.NoCapacity, "relay: host %s gave no slot", h.Name)
+	}
+	return reserved.Ticket, nil
+}
+
+func (c *Client) forward(ctx context.Context, h core.Host, ticket string, r core.Request) (core.Response, error) {
+	r.Header = r.Header.Clone()
+	if r.Header == nil {
+		r.Header = make(http.Header)
+	}
+	r.Header.Set(HeaderTicket, ticket)
+	r.Header.Set(HeaderService, string(r.Service))
+	if c.cfg.Credential != "" {
+		r.Header.Set("Authorization", "Bearer "+c.cfg.Credential)
+	}
+	r.Path = Path[:len(Path)-1] + r.Path
+	return c.cfg.Servers.Send(ctx, core.Server{Name: core.ServerID(h.Name), Address: h.Peer}, r)
+}
+
+func sendState(err error) core.SendState {
+	var se *core.SendError
+	if errors.As(err, &se) {
+		return se.State
+	}
+	return core.SendMaybe
+}
--- a/io/server/conn.go
+++ b/io/server/conn.go
@@ -2,11 +2,38 @@
 package server
 
 import (
+	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
 )
 
+// dialer opens counted connections.
+type dialer struct {
+	net net.Dialer
+	tls *tls.Config
+}
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.net.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn}, nil
+}
+
+// dialTLS counts the bytes above TLS: those of the handshake are no part of
+// a request.
+func (d *dialer) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	t := tls.Dialer{NetDialer: &d.net, Config: d.tls}
+	conn, err := t.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn}, nil
+}
+
 var errSealed = errors.New("server: connection was given up before the first byte")
 
 // countedConn counts the bytes written, so that a failed request is known
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -45,12 +46,15 @@
 	Timer core.Timer
 	// Dial bounds the time to connect. Zero means 2 s.
 	Dial time.Duration
+	// TLS, if set, is used for all connections.
+	TLS *tls.Config
 }
 
 // Client implements core.Servers over HTTP/1.1. It is safe for concurrent
 // use.
 type Client struct {
 	timer     core.Timer
+	scheme    string
 	transport *http.Transport
 }
 
@@ -61,15 +65,14 @@
 	if cfg.Dial == 0 {
 		cfg.Dial = defaultDial
 	}
-	dialer := &net.Dialer{Timeout: cfg.Dial}
-	return &Client{timer: cfg.Timer, transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn}, nil
-		},
+	d := &dialer{net: net.Dialer{Timeout: cfg.Dial}, tls: cfg.TLS}
+	scheme := "http"
+	if cfg.TLS != nil {
+		scheme = "https"
+	}
+	return &Client{timer: cfg.Timer, scheme: scheme, transport: &http.Transport{
+		DialContext:         d.dial,
+		DialTLSContext:      d.dialTLS,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -124,7 +127,7 @@
 }
 
 func (c *Client) request(ctx context.Context, s core.Server, r core.Request) (*http.Request, error) {
-	target, err := url.Parse("http://" + s.Address + r.Path)
+	target, err := url.Parse(c.scheme + "://" + s.Address + r.Path)
 	if err != nil {
 		return nil, errors.Wrap(err, "server: request path")
 	}
@@ -215,7 +218,7 @@
 // Probe implements core.Servers. It reads GET /health, a JSON object with
 // ready, leaving and load.
 func (c *Client) Probe(ctx context.Context, s core.Server) (core.Health, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+probePath, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+"://"+s.Address+probePath, http.NoBody)
 	if err != nil {
 		return core.Health{}, errors.Wrap(err, "server: probe")
 	}
--- a/io/wire/beat.go
+++ b/io/wire/beat.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"azurering/core"
 )
 
@@ -36,6 +38,16 @@
 	By          core.HostID
 }
 
+type probedWire struct {
+	_       struct{} `cbor:",toarray"`
+	Server  core.ServerID
+	Age     time.Duration
+	Failed  bool
+	Ready   bool
+	Leaving bool
+	Load    float64
+}
+
 type beatWire struct {
 	_         struct{} `cbor:",toarray"`
 	Host      hostWire
@@ -49,6 +61,7 @@
 	StoreSeen bool
 	Ages      []ageWire
 	Loads     []loadWire
+	Probes    []probedWire
 }
 
 func packHost(h core.Host) (hostWire, error) {
@@ -92,6 +105,12 @@
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, loadWire{Domain: l.Domain, Free: l.Free, Total: l.Total})
 	}
+	for _, p := range m.Probes {
+		w.Probes = append(w.Probes, probedWire{
+			Server: p.Server, Age: p.Age, Failed: p.Failed,
+			Ready: p.Health.Ready, Leaving: p.Health.Leaving, Load: p.Health.Load,
+		})
+	}
 	return w, w.check()
 }
 
@@ -104,6 +123,14 @@
 			return err
 		}
 	}
+	for _, p := range w.Probes {
+		if err := notNegative("probe age", p.Age); err != nil {
+			return err
+		}
+		if !(p.Load >= -1 && p.Load <= 1) {
+			return errors.Errorf("load %v of a probe is out of range", p.Load)
+		}
+	}
 	return nil
 }
 
@@ -135,5 +162,11 @@
 	for _, l := range w.Loads {
 		m.Loads = append(m.Loads, core.Load{Domain: l.Domain, Free: l.Free, Total: l.Total})
 	}
+	for _, p := range w.Probes {
+		m.Probes = append(m.Probes, core.Probed{
+			Server: p.Server, Age: p.Age, Failed: p.Failed,
+			Health: core.Health{Ready: p.Ready, Leaving: p.Leaving, Load: p.Load},
+		})
+	}
 	return m, nil
 }
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -94,6 +94,8 @@
 		v.SetUint(uint64(f.n) << 33)
 	case reflect.Int, reflect.Int64:
 		v.SetInt(f.n << 33)
+	case reflect.Float64:
+		v.SetFloat(1 / float64(f.n+1))
 	default:
 		panic("filler: unexpected type " + v.Type().String())
 	}
