seats: ask for promises while a row change is unresolved

A holder whose change of candidates had an unknown outcome returned from its tick before it asked for promises, so a store outage that began with a lost answer stopped the seat. The tables now have that case, and cases for a promise that outlives the bound, a slow read of the log and a host that only the store connects. A test under the race detector covers the methods that are safe for concurrent use.

--- a/core/seats/faults_test.go
+++ b/core/seats/faults_test.go
@@ -170,6 +170,16 @@
 			cut("a1", "a3", true), commit("a1", "unanswered"),
 			used("a1"), noDB(true, "a1", "a2", "a3"), links(), split("a4"), run(60 * s), acts("a4"),
 		}},
+		{"holder stops asking for promises while a change of candidates is unknown", []do{
+			cut("a1", "a3", true), commit("a1", "unanswered"), used("a1"), noDB(true, "a1", "a2", "a3", "a4"), links(),
+			always("a1", 60*s),
+		}},
+		{"promise outlives the bound", []do{
+			noDB(true, "a1"), run(6 * s), acts("a1"), pause("a1", true), run(3 * s), acts("a1"), run(2 * s), acts(""), run(9 * s), acts("any"),
+		}},
+		{"host that only the store connects takes the seat back again and again", []do{
+			split("a1"), run(20 * s), always("any", 60*s),
+		}},
 		{"release leaves the successor waiting", []do{
 			release("a1"), kill("a1"), acts(""), run(3 * s), acts("a2"),
 		}},
@@ -266,6 +276,18 @@
 				w.onStall = nil
 			}, run(3 * s), withdraw(true),
 		}},
+		{"a slow read of the log counts from its end", []do{
+			split(domainC...), func(t *testing.T, w *world) {
+				for _, h := range domainC {
+					w.hosts[h].noLog = h != "c1"
+				}
+				w.hosts["c1"].stall, w.hosts["c1"].slow = 3*s, core.SpaceWithdrawn
+				w.onStall = func() {
+					w.hosts["c1"].noLog = true
+					withdraw(true)(t, w)
+				}
+			}, run(20 * s), admits("c1", codes.KeyUnproven),
+		}},
 		{"a withdrawal without a majority of domains is accepted", []do{
 			split("a1", "a2", "a3"), withdraw(false), links(), run(10 * s), withdraw(true),
 		}},
--- a/core/seats/machine_test.go
+++ b/core/seats/machine_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"flag"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"azurering/core"
@@ -129,3 +131,46 @@
 		}
 	}
 }
+
+// Guards, under the race detector, the methods that are safe for concurrent
+// use against the goroutine of Tick, with peer calls in parallel.
+func TestConcurrent(t *testing.T) {
+	w := newWorld(3, 3, t.Fatalf)
+	w.advance(15 * time.Second)
+	w.parallel = 16
+	for _, n := range w.names {
+		w.kill(w.hosts[n])
+		w.start(n, w.hosts[n].Domain)
+	}
+	ctx := context.Background()
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	var wg sync.WaitGroup
+	for i, n := range w.names {
+		h := w.hosts[n]
+		wg.Go(func() {
+			for range 60 {
+				h.clock.Advance(200 * time.Millisecond)
+				_ = h.seat.Tick(ctx)
+				_ = h.keys.Tick(ctx)
+				h.ev.RecordStore(core.SpaceConfig, h.clock.Now())
+			}
+			_ = h.seat.Release(ended)
+		})
+		wg.Go(func() {
+			for j := range 60 {
+				_, _, _ = h.keys.Check(bearer(keyName(j % checkedKeys)))
+				h.keys.Watch(keyName(j % checkedKeys)).Err()
+				h.keys.Observe(w.names[(i+1)%len(w.names)], h.beat())
+				h.seat.Fence()
+				_, _ = h.seat.Find(ctx, w.domains[j%3])
+			}
+			_, _ = h.keys.Withdraw(ctx, core.Withdrawal{Key: keyName(i % (checkedKeys - 1))})
+		})
+	}
+	wg.Wait()
+	rows, err := w.table.List(ctx, core.SpaceWithdrawn, "", 0)
+	require.NoError(t, err)
+	require.NotEmpty(t, rows)
+	require.LessOrEqual(t, len(rows), checkedKeys-1, "no withdrawal is logged twice")
+}
--- a/core/seats/seats.go
+++ b/core/seats/seats.go
@@ -296,15 +296,20 @@
 }
 
 func (s *Seat) work(ctx context.Context) error {
+	var err error
 	if s.unresolved() {
-		if err := s.resolve(ctx); err != nil {
-			return err
-		}
+		// A holder goes on asking for promises while the store cannot tell
+		// the outcome.
+		err = s.resolve(ctx)
 	}
+	step := s.follow
 	if s.isHolding() {
-		return s.hold(ctx)
+		step = s.hold
+	}
+	if stepErr := step(ctx); stepErr != nil {
+		return stepErr
 	}
-	return s.follow(ctx)
+	return err
 }
 
 func (s *Seat) isHolding() bool {
