--- a/core/fakes/table.go
+++ b/core/fakes/table.go
@@ -137,27 +137,40 @@
 }
 
 func (t *Table) check(writes []core.Write) error {
+	if err := checkForm(writes); err != nil {
+		return err
+	}
+	for _, w := range writes {
+		row := t.rows[rowKey{w.Space, w.Key}]
+		if row.Version != w.Expect {
+			return codes.New(codes.StoreConflict, "fakes: row %s/%s has version %d, not %d", w.Space, w.Key, row.Version, w.Expect)
+		}
+		if w.ExpectToken != "" && row.Token != w.ExpectToken {
+			return codes.New(codes.StoreConflict, "fakes: row %s/%s has another token", w.Space, w.Key)
+		}
+	}
+	return nil
+}
+
+// checkForm refuses a commit that no table could apply.
+func checkForm(writes []core.Write) error {
 	if len(writes) > core.CommitLimit {
 		return codes.New(codes.Internal, "fakes: commit of %d writes is over the limit of %d", len(writes), core.CommitLimit)
 	}
 	seen := make(map[rowKey]bool, len(writes))
+	size := 0
 	for _, w := range writes {
 		k := rowKey{w.Space, w.Key}
-		if seen[k] {
-			return codes.New(codes.Internal, "fakes: commit names row %s/%s twice", w.Space, w.Key)
+		if w.Space == "" || w.Key == "" || seen[k] {
+			return codes.New(codes.Internal, "fakes: commit names row %s/%s twice or without a key", w.Space, w.Key)
 		}
 		seen[k] = true
-		if w.Space == "" || w.Key == "" {
-			return codes.New(codes.Internal, "fakes: commit names a row without a key")
-		}
 		if w.Kind != core.WritePut && w.Kind != core.WriteDelete && w.Kind != core.WriteCheck {
 			return codes.New(codes.Internal, "fakes: unknown kind of write %q", w.Kind)
 		}
-		if t.rows[k].Version != w.Expect {
-			return codes.New(codes.StoreConflict, "fakes: row %s/%s has version %d, not %d", w.Space, w.Key, t.rows[k].Version, w.Expect)
-		}
-		if w.ExpectToken != "" && t.rows[k].Token != w.ExpectToken {
-			return codes.New(codes.StoreConflict, "fakes: row %s/%s has another token", w.Space, w.Key)
+		size += w.Size()
+		if w.Size() > core.RowBytes || size > core.CommitBytes {
+			return codes.New(codes.Internal, "fakes: row %s/%s makes the commit too large", w.Space, w.Key)
 		}
 	}
 	return nil
--- a/core/table.go
+++ b/core/table.go
@@ -53,6 +53,23 @@
 // a DynamoDB transaction.
 const CommitLimit = 100
 
+// The largest row and the largest commit in bytes, by Write.Size: the limits
+// of a DynamoDB item and of a DynamoDB transaction.
+const (
+	RowBytes    = 400 << 10
+	CommitBytes = 4 << 20
+)
+
+// rowOverhead is an upper bound of what names and version of a row add to
+// its size.
+const rowOverhead = 64
+
+// Size returns the bytes of the row that a write puts, as far as limits are
+// concerned.
+func (w Write) Size() int {
+	return rowOverhead + len(w.Space) + len(w.Key) + len(w.Token) + len(w.Value)
+}
+
 // Table is the platform's transactional table service. It is safe for
 // concurrent use.
 //
--- a/io/bucket/bucket.go
+++ b/io/bucket/bucket.go
@@ -6,13 +6,10 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
-	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/smithy-go"
@@ -20,8 +17,12 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/io/cloud"
 )
 
+// maxIdle bounds the idle connections to the service.
+const maxIdle = 4
+
 // Op names one kind of operation.
 type Op string
 
@@ -80,9 +81,6 @@
 	if cfg.Count == nil {
 		cfg.Count = func(Op, int, codes.Code) {}
 	}
-	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
-	}
 	return &Objects{client: newClient(cfg), cfg: cfg}, nil
 }
 
@@ -95,7 +93,7 @@
 		Region:       cfg.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, ""),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   &http.Client{Transport: cfg.Transport, CheckRedirect: noRedirect},
+		HTTPClient:   cloud.NewClient(cfg.Transport, maxIdle),
 		// Names are derived from the content, so readers check bodies against
 		// their names; services that only resemble S3 lack the checksums.
 		RequestChecksumCalculation:                aws.RequestChecksumCalculationWhenRequired,
@@ -105,8 +103,6 @@
 	})
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Put implements core.Objects. A body over the bound or an empty name gets
 // Internal and is not sent.
 func (o *Objects) Put(ctx context.Context, name string, body []byte) error {
@@ -115,16 +111,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.cfg.Timeout)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	ctx, connected := cloud.Watch(ctx)
 	_, err := o.client.PutObject(ctx, &s3.PutObjectInput{
 		Bucket: aws.String(o.cfg.Bucket), Key: aws.String(name),
 		Body: bytes.NewReader(body), ContentLength: aws.Int64(int64(len(body))),
 	})
 	if err != nil {
-		err = putError(err, name, connected.Load())
+		err = putError(err, name, connected())
 	}
 	o.cfg.Count(OpPut, len(body), codes.Of(err))
 	return err
@@ -168,7 +161,7 @@
 	if throttled(err) {
 		return codes.Wrap(err, codes.StoreLimit, "bucket: put of %s was throttled", name)
 	}
-	if s := statusOf(err); s >= http.StatusBadRequest && s < http.StatusInternalServerError {
+	if s := cloud.Status(err); s >= http.StatusBadRequest && s < http.StatusInternalServerError {
 		return codes.Wrap(err, codes.StoreDown, "bucket: put of %s was refused", name)
 	}
 	return codes.Wrap(err, codes.StoreUnknown, "bucket: outcome of the put of %s is unknown", name)
@@ -193,13 +186,5 @@
 	if errors.As(err, &api) && (api.ErrorCode() == "SlowDown" || api.ErrorCode() == "RequestLimitExceeded") {
 		return true
 	}
-	return statusOf(err) == http.StatusTooManyRequests
-}
-
-func statusOf(err error) int {
-	var response *awshttp.ResponseError
-	if errors.As(err, &response) {
-		return response.HTTPStatusCode()
-	}
-	return 0
+	return cloud.Status(err) == http.StatusTooManyRequests
 }
--- a/io/bucket/bucket_test.go
+++ b/io/bucket/bucket_test.go
@@ -164,8 +164,9 @@
 // Guards against bodies over the bound, and against answers of a service
 // being classified as safer than they are.
 func TestBoundAndClassification(t *testing.T) {
-	status, answer := http.StatusOK, ""
+	status, answer, requests := http.StatusOK, "", 0
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests++
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte(answer))
 	}))
@@ -194,11 +195,12 @@
 		{http.StatusServiceUnavailable, "", codes.StoreUnknown, codes.StoreDown},
 		{http.StatusInternalServerError, "", codes.StoreUnknown, codes.StoreDown},
 	} {
-		status, answer, counted = c.status, c.answer, nil
+		status, answer, requests, counted = c.status, c.answer, 0, nil
 		require.Equal(t, c.put, codes.Of(o.Put(t.Context(), "a", []byte("1"))), "%+v", c)
 		_, err := o.Get(t.Context(), "a")
 		require.Equal(t, c.get, codes.Of(err), "%+v: %v", c, err)
 		require.Equal(t, []codes.Code{c.put, c.get}, counted)
+		require.Equal(t, 2, requests, "a request was repeated")
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/io/dynamo/commit.go
+++ b/io/dynamo/commit.go
@@ -12,7 +12,7 @@
 )
 
 // Commit implements core.Table. A commit that could never be applied (too
-// many writes, one row twice, an empty key, an unknown kind) gets Internal
+// many writes or bytes, one row twice, an empty key, an unknown kind) gets Internal
 // and is not sent. A commit without writes is not sent either.
 func (t *Table) Commit(ctx context.Context, writes []core.Write) error {
 	items, err := transactItems(t.name, writes)
@@ -26,7 +26,7 @@
 	defer cancel()
 	_, err = t.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
 	if err != nil {
-		err = commitError(err, connected.Load())
+		err = commitError(err, connected())
 	}
 	t.count(OpCommit, len(writes), codes.Of(err))
 	return err
@@ -42,12 +42,17 @@
 	}
 	seen := make(map[rowKey]bool, len(writes))
 	items := make([]types.TransactWriteItem, 0, len(writes))
+	size := 0
 	for _, w := range writes {
 		k := rowKey{w.Space, w.Key}
 		if w.Space == "" || w.Key == "" || seen[k] {
 			return nil, codes.New(codes.Internal, "dynamo: commit names row %s/%s twice or without a key", w.Space, w.Key)
 		}
 		seen[k] = true
+		size += w.Size()
+		if w.Size() > core.RowBytes || size > core.CommitBytes {
+			return nil, codes.New(codes.Internal, "dynamo: row %s/%s makes the commit too large", w.Space, w.Key)
+		}
 		i, err := transactItem(table, w)
 		if err != nil {
 			return nil, err
--- a/io/dynamo/contract_test.go
+++ b/io/dynamo/contract_test.go
@@ -169,6 +169,18 @@
 		}
 		require.Equal(t, codes.Internal, commit(t, w.table(), writes...))
 		require.Equal(t, codes.OK, commit(t, w.table(), writes[1:]...))
+		// The largest row and the largest commit pass, so the limits are not
+		// stricter than they need to be, nor laxer than the service.
+		var large []core.Write
+		for n := range 11 {
+			w := core.Write{Kind: core.WritePut, Space: core.SpaceOrder, Key: fmt.Sprintf("%03d", n)}
+			w.Value = make([]byte, core.RowBytes-w.Size())
+			large = append(large, w)
+		}
+		require.Equal(t, codes.OK, commit(t, w.table(), large[:10]...))
+		require.Equal(t, codes.Internal, commit(t, w.table(), large...))
+		large[10].Value = append(large[10].Value, 0)
+		require.Equal(t, codes.Internal, commit(t, w.table(), large[10]))
 	}},
 	{"list", func(t *testing.T, w world) {
 		var want []core.Row
--- a/io/dynamo/dynamo.go
+++ b/io/dynamo/dynamo.go
@@ -7,19 +7,22 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	endpoints "github.com/aws/smithy-go/endpoints"
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/io/cloud"
 )
 
+// maxIdle bounds the idle connections to the service.
+const maxIdle = 32
+
 // Op names one kind of operation.
 type Op string
 
@@ -59,7 +62,8 @@
 
 // New returns a table. Errors carry SettingsInvalid.
 func New(cfg Config) (*Table, error) {
-	if u, err := url.Parse(cfg.Endpoint); err != nil || u.Host == "" {
+	u, err := url.Parse(cfg.Endpoint)
+	if err != nil || u.Host == "" {
 		return nil, codes.New(codes.SettingsInvalid, "dynamo: endpoint %q is not a URL", cfg.Endpoint)
 	}
 	if cfg.AccessKey == "" || cfg.SecretKey == "" {
@@ -77,36 +81,37 @@
 	if cfg.Count == nil {
 		cfg.Count = func(Op, int, codes.Code) {}
 	}
-	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute}
-	}
-	return &Table{client: newClient(cfg), name: cfg.Table, timeout: cfg.Timeout, count: cfg.Count}, nil
+	return &Table{client: newClient(cfg, *u), name: cfg.Table, timeout: cfg.Timeout, count: cfg.Count}, nil
 }
 
 // newClient builds the client from the settings alone: no environment, no
 // files and no metadata service. It never repeats a request, because a
 // repeat of a commit whose answer was lost would come back as a conflict.
-func newClient(cfg Config) *dynamodb.Client {
+func newClient(cfg Config, endpoint url.URL) *dynamodb.Client {
 	return dynamodb.New(dynamodb.Options{
-		BaseEndpoint: aws.String(cfg.Endpoint),
-		Region:       cfg.Region,
-		Credentials:  credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, ""),
-		Retryer:      aws.NopRetryer{},
-		HTTPClient:   &http.Client{Transport: cfg.Transport, CheckRedirect: noRedirect},
+		EndpointResolverV2: fixedEndpoint{endpoint},
+		Region:             cfg.Region,
+		Credentials:        credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, ""),
+		Retryer:            aws.NopRetryer{},
+		HTTPClient:         cloud.NewClient(cfg.Transport, maxIdle),
 		EndpointDiscovery: dynamodb.EndpointDiscoveryOptions{
 			EnableEndpointDiscovery: aws.EndpointDiscoveryDisabled,
 		},
 	})
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+// fixedEndpoint replaces the endpoint rules of the SDK, which look up the
+// region in each request and took a good part of its time.
+type fixedEndpoint struct{ url url.URL }
+
+// ResolveEndpoint implements dynamodb.EndpointResolverV2.
+func (f fixedEndpoint) ResolveEndpoint(context.Context, dynamodb.EndpointParameters) (endpoints.Endpoint, error) {
+	return endpoints.Endpoint{URI: f.url}, nil
+}
 
 // begin bounds a request and watches whether it got a connection.
-func (t *Table) begin(ctx context.Context) (context.Context, context.CancelFunc, *atomic.Bool) {
-	connected := new(atomic.Bool)
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+func (t *Table) begin(ctx context.Context) (context.Context, context.CancelFunc, func() bool) {
+	ctx, connected := cloud.Watch(ctx)
 	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	return ctx, cancel, connected
 }
--- a/io/dynamo/errors.go
+++ b/io/dynamo/errors.go
@@ -3,12 +3,12 @@
 import (
 	"net/http"
 
-	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/aws/smithy-go"
 	"github.com/pkg/errors"
 
 	"azurering/core/codes"
+	"azurering/io/cloud"
 )
 
 // throttling lists the error codes and cancellation reasons that say that
@@ -52,7 +52,7 @@
 	if errors.As(err, &api) && throttling[api.ErrorCode()] {
 		return codes.Wrap(err, codes.StoreLimit, "dynamo: commit was throttled")
 	}
-	if status := statusOf(err); status >= http.StatusBadRequest && status < http.StatusInternalServerError && api != nil {
+	if status := cloud.Status(err); status >= http.StatusBadRequest && status < http.StatusInternalServerError && api != nil {
 		return codes.Wrap(err, codes.StoreDown, "dynamo: commit was refused")
 	}
 	return codes.Wrap(err, codes.StoreUnknown, "dynamo: outcome of the commit is unknown")
@@ -78,11 +78,3 @@
 	}
 	return codes.Wrap(err, codes.StoreDown, "dynamo: commit was refused")
 }
-
-func statusOf(err error) int {
-	var response *awshttp.ResponseError
-	if errors.As(err, &response) {
-		return response.HTTPStatusCode()
-	}
-	return 0
-}
--- a/io/peers/link.go
+++ b/io/peers/link.go
@@ -146,7 +146,7 @@
 	if p.cfg.TLS != nil {
 		scheme = "wss://"
 	}
-	ws, resp, err := websocket.Dial(ctx, scheme+address+Path, &websocket.DialOptions{
+	ws, resp, err := websocket.Dial(withName(ctx, to), scheme+address+Path, &websocket.DialOptions{
 		HTTPClient: p.client, HTTPHeader: header,
 	})
 	if err != nil {
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -44,6 +44,11 @@
 	// other hosts must come from, both as clients (ClientCAs) and as servers
 	// (RootCAs). Without it, connections are not encrypted.
 	TLS *tls.Config
+	// VerifyNames demands that the certificate of a host holds the host's id
+	// as a DNS name. Without it, any host with a certificate of the CA can
+	// claim any id, and certificates of servers must hold the IP address
+	// that is dialled, or the ServerName in TLS.
+	VerifyNames bool
 	// Credential is a secret that all hosts share. It is checked in addition
 	// to TLS if both are set.
 	Credential string
@@ -67,9 +72,10 @@
 	Log   logrus.FieldLogger // nil means no log
 }
 
-// Stats are counts since the start, except Conns.
+// Stats are counts since the start, except Conns and Links.
 type Stats struct {
 	Conns   int    // connections open now
+	Links   int    // hosts that were called lately
 	Dials   uint64 // attempts to dial
 	Late    uint64 // answers dropped because their call had ended
 	Dropped uint64 // requests refused because the queue was full
@@ -123,6 +129,9 @@
 	if c.TLS == nil && c.Credential == "" {
 		return codes.New(codes.SettingsInvalid, "peers: TLS or a credential is required")
 	}
+	if c.TLS == nil && c.VerifyNames {
+		return codes.New(codes.SettingsInvalid, "peers: names cannot be verified without TLS")
+	}
 	if c.TLS == nil {
 		return nil
 	}
@@ -208,7 +217,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return Stats{
-		Conns: len(p.conns), Dials: p.dials.Load(), Late: p.late.Load(),
+		Conns: len(p.conns), Links: len(p.links), Dials: p.dials.Load(), Late: p.late.Load(),
 		Dropped: p.dropped.Load(), Refused: p.refused.Load(),
 	}
 }
--- a/io/peers/peers_test.go
+++ b/io/peers/peers_test.go
@@ -83,6 +83,12 @@
 	require.Eventually(t, func() bool { return a.Stats().Conns == 0 && b.Stats().Conns == 0 }, 10*time.Second, time.Millisecond)
 	require.NoError(t, attest(t, a, "b"))
 	require.Equal(t, uint64(2), a.Stats().Dials)
+	require.Equal(t, 1, a.Stats().Links)
+	clock.Advance(61 * time.Second)
+	require.Eventually(t, func() bool {
+		clock.Advance(time.Second)
+		return a.Stats().Links == 0
+	}, 10*time.Second, time.Millisecond)
 }
 
 // Guards against the bound on connections cutting a connection in use, or
--- a/io/peers/serve.go
+++ b/io/peers/serve.go
@@ -58,7 +58,7 @@
 
 // admit checks who asks for a connection.
 func (p *Peers) admit(r *http.Request, host core.HostID) (int, error) {
-	if err := p.checkTransport(r); err != nil {
+	if err := p.checkTransport(r, host); err != nil {
 		return http.StatusForbidden, err
 	}
 	want := "Bearer " + p.cfg.Credential
@@ -75,7 +75,7 @@
 	return http.StatusOK, nil
 }
 
-func (p *Peers) checkTransport(r *http.Request) error {
+func (p *Peers) checkTransport(r *http.Request, host core.HostID) error {
 	if p.cfg.TLS == nil {
 		if p.cfg.AllowPlain || isLoopback(r.RemoteAddr) {
 			return nil
@@ -85,5 +85,9 @@
 	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
 		return codes.New(codes.PeerRefused, "peers: no verified client certificate")
 	}
+	if p.cfg.VerifyNames {
+		err := r.TLS.PeerCertificates[0].VerifyHostname(string(host))
+		return codes.Wrap(err, codes.PeerRefused, "peers: certificate does not name host %s", host)
+	}
 	return nil
 }
--- a/io/peers/tls.go
+++ b/io/peers/tls.go
@@ -1,9 +1,12 @@
 package peers
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 
+	"azurering/core"
 	"azurering/core/codes"
 )
 
@@ -41,9 +44,33 @@
 		// WebSocket needs HTTP/1.1.
 		transport.TLSClientConfig.NextProtos = []string{"http/1.1"}
 	}
+	if cfg.VerifyNames {
+		transport.DialTLSContext = dialNamed(transport.TLSClientConfig)
+	}
 	return &http.Client{
 		Transport: transport,
 		// A redirect would carry the credential to another address.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+// nameKey is the key of the dialled host's id in a context.
+type nameKey struct{}
+
+func withName(ctx context.Context, host core.HostID) context.Context {
+	return context.WithValue(ctx, nameKey{}, string(host))
+}
+
+// dialNamed returns a dial function that accepts only a server whose
+// certificate holds the id of the dialled host.
+func dialNamed(base *tls.Config) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		name, ok := ctx.Value(nameKey{}).(string)
+		if !ok {
+			return nil, codes.New(codes.Internal, "peers: dial without a host")
+		}
+		named := base.Clone()
+		named.ServerName = name
+		return (&tls.Dialer{Config: named}).DialContext(ctx, network, address)
+	}
+}
--- a/io/peers/tls_test.go
+++ b/io/peers/tls_test.go
@@ -9,6 +9,8 @@
 	"crypto/x509/pkix"
 	"math/big"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -44,6 +46,8 @@
 	return &authority{cert, key, pool}
 }
 
+// config returns settings with a certificate for the loopback address and
+// for a host id.
 func (a *authority) config(t *testing.T, name string) *tls.Config {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -51,7 +55,7 @@
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, DNSNames: []string{name},
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
@@ -89,6 +93,42 @@
 	require.NoError(t, err)
 }
 
+// Guards against a host that claims the id of another one, as a client or
+// as a server.
+func TestVerifyNames(t *testing.T) {
+	ca := newAuthority(t)
+	w := &loopWorld{configure: func(cfg *peers.Config) {
+		cfg.Credential, cfg.VerifyNames = "", true
+		name := string(cfg.Host)
+		if name == "b" {
+			name = "thief"
+		}
+		cfg.TLS = ca.config(t, name)
+	}}
+	a, b, c := w.start(t, "a"), w.start(t, "b"), w.start(t, "c")
+	answerAttest(a)
+	answerAttest(b)
+	require.NoError(t, attest(t, c, "a"))
+	require.Equal(t, codes.PeerRefused, codes.Of(attest(t, b, "a")))
+	require.Equal(t, codes.PeerDown, codes.Of(attest(t, c, "b")))
+}
+
+// Guards against a listener that does not demand client certificates.
+func TestHandlerDemandsCertificate(t *testing.T) {
+	w := &loopWorld{configure: func(cfg *peers.Config) { cfg.TLS = newAuthority(t).config(t, "a") }}
+	a := w.start(t, "a")
+	for _, state := range []*tls.ConnectionState{nil, {}} {
+		r := httptest.NewRequest(http.MethodGet, peers.Path, nil)
+		r.Header.Set("Authorization", "Bearer secret")
+		r.Header.Set("Azurering-Host", "b")
+		r.Header.Set("Azurering-Peer", "a")
+		r.RemoteAddr, r.TLS = "127.0.0.1:999", state
+		recorder := httptest.NewRecorder()
+		a.Handler().ServeHTTP(recorder, r)
+		require.Equal(t, http.StatusForbidden, recorder.Code)
+	}
+}
+
 // Guards against settings that would leave certificates unverified.
 func TestSettingsRefused(t *testing.T) {
 	ca := newAuthority(t)
@@ -104,6 +144,7 @@
 		"no CA":         {Host: "a", Address: address, TLS: noCA},
 		"unverified":    {Host: "a", Address: address, TLS: unverified},
 		"no cert":       {Host: "a", Address: address, TLS: noCert},
+		"plain names":   {Host: "a", Address: address, Credential: "s", VerifyNames: true},
 	} {
 		_, err := peers.New(cfg)
 		require.Equal(t, codes.SettingsInvalid, codes.Of(err), name)
--- a/io/roster/roster_test.go
+++ b/io/roster/roster_test.go
@@ -47,7 +47,7 @@
 		require.NoError(t, s.SetDown(f == fakes.FaultDown))
 		require.NoError(t, s.SetFaults())
 		if f == fakes.FaultLimit {
-			require.NoError(t, s.SetFaults(stand.Fault{Kind: stand.FaultLimit, Service: stand.Hosts, Reads: 1}))
+			require.NoError(t, s.SetFaults(stand.Fault{Kind: stand.FaultLimit, Service: stand.Hosts, Identity: "host-a", Reads: 1}))
 			_, err := r.Hosts(t.Context())
 			require.NoError(t, err)
 		}
@@ -62,7 +62,7 @@
 			got, err := w.roster.Hosts(t.Context())
 			require.NoError(t, err)
 			require.Empty(t, got)
-			want := []core.Host{host("a", core.HostLive), host("b", core.HostLeaving)}
+			want := []core.Host{host("a", core.HostLive), host("b/é c", core.HostLeaving)}
 			w.set(want...)
 			got, err = w.roster.Hosts(t.Context())
 			require.NoError(t, err)
