order: let the issuing host decide issued keys without the store

A key that names the run of the host that issued its prefix has one authority that never moves: only that run sends the order, by its own memory, and records the answer when the store returns. Other hosts answer from the table or from what the issuing run says. Answers that wait to be recorded are bounded by count and bytes, for all orders. An OrderPeek with an empty token asks whether the run has claimed an issued key.

Conclusion: a caller that takes a prefix can order during an outage.

--- a/core/order/bench_test.go
+++ b/core/order/bench_test.go
@@ -51,10 +51,11 @@
 		name    string
 		repeats int
 		silent  bool
-	}{{name: "all-new"}, {name: "2%-repeats", repeats: 50}, {name: "2%-repeats,silent-store", repeats: 50, silent: true}} {
+		issued  bool
+	}{{name: "all-new"}, {name: "issued", issued: true}, {name: "2%-repeats", repeats: 50}, {name: "2%-repeats,silent-store", repeats: 50, silent: true}} {
 		for _, callers := range []int{1, 10, 50, 200} {
 			b.Run(fmt.Sprintf("%s/callers=%d", c.name, callers), func(b *testing.B) {
-				benchOrders(b, callers, c.repeats, c.silent)
+				benchOrders(b, callers, c.repeats, c.silent, c.issued)
 			})
 		}
 	}
@@ -62,7 +63,7 @@
 
 // benchOrders lets one of every repeats orders reuse a key that the same
 // caller used ten orders before.
-func benchOrders(b *testing.B, callers, repeats int, silent bool) {
+func benchOrders(b *testing.B, callers, repeats int, silent, issued bool) {
 	table := &slowTable{silent: silent}
 	ctx, cancel := context.WithCancel(context.Background())
 	orders := order.New(order.Config{Table: table, Timer: timer.NewReal(), Host: "a", Incarnation: 1, Sweep: func() bool { return false }})
@@ -81,6 +82,9 @@
 				if n := turn.Add(1); repeats > 0 && i >= 10 && n%int64(repeats) == 0 {
 					key = keys[i-10]
 				}
+				if issued {
+					key = orders.Prefix() + key
+				}
 				keys = append(keys, key)
 				if _, err := orders.Do(ctx, order.Request{Workspace: "w", Key: key}, send); err != nil {
 					b.Error(err)
--- a/core/order/call.go
+++ b/core/order/call.go
@@ -19,6 +19,7 @@
 	callClaimed   callState = "claimed"   // the claim is committed; the order may be sent
 	callRecording callState = "recording" // the answer is known and being recorded
 	callReleasing callState = "releasing" // never run; the claim is being released
+	callMarking   callState = "marking"   // may have run; an issued key without a row yet
 )
 
 // call is one order at this host, from its claim until its row needs no
@@ -36,6 +37,9 @@
 	// the claim was committed by another attempt and released.
 	doubt   bool
 	doubtAt time.Duration
+	issued  bool  // the key is issued: the claim is in memory only
+	period  int64 // of an issued key
+	size    int   // bytes of the answer that are counted in Orders.holding
 	result  Result
 	verdict chan verdict  // gets one verdict on the claim
 	gone    chan struct{} // closed when the call leaves Orders.calls
@@ -56,19 +60,32 @@
 	if c := o.calls[row]; c != nil {
 		return o.meet(r, c)
 	}
-	if pending := len(o.calls) + len(o.ghosts); pending >= o.cfg.Size {
-		full := codes.New(codes.QueueFull, "order: %d orders are pending", pending)
-		return nil, nil, codes.Wrap(full, codes.OrderNotRun, "order: too many orders wait")
-	}
-	c = &call{
-		row: row, hash: r.Hash, token: uuid.NewString(), claimed: o.cfg.Wall(), state: callWaiting,
-		verdict: make(chan verdict, 1), gone: make(chan struct{}),
+	if err := o.full(); err != nil {
+		return nil, nil, err
 	}
+	c = newCall(row, r.Hash, o.cfg.Wall())
 	o.calls[row] = c
 	o.push(o.claimOp(c))
 	return c, nil, nil
 }
 
+func newCall(row string, hash [32]byte, claimed time.Time) *call {
+	return &call{
+		row: row, hash: hash, token: uuid.NewString(), claimed: claimed, state: callWaiting,
+		verdict: make(chan verdict, 1), gone: make(chan struct{}),
+	}
+}
+
+// full refuses a new order while too much is pending.
+func (o *Orders) full() error {
+	pending := len(o.calls) + len(o.ghosts)
+	if pending < o.cfg.Size && o.holding < o.cfg.Hold {
+		return nil
+	}
+	full := codes.New(codes.QueueFull, "order: %d orders and %d bytes of answers are pending", pending, o.holding)
+	return codes.Wrap(full, codes.OrderNotRun, "order: too many orders wait")
+}
+
 func (o *Orders) meet(r Request, c *call) (*call, *call, error) {
 	if c.state == callReleasing || c.state == callAbandoned {
 		return nil, c, nil
@@ -79,6 +96,9 @@
 	if c.state == callRecording {
 		return nil, c, nil
 	}
+	if c.state == callMarking {
+		return nil, nil, codes.New(codes.OrderUnknown, "order: outcome of the order is unknown")
+	}
 	return nil, nil, codes.New(codes.OrderRunning, "order: the order is running")
 }
 
@@ -174,6 +194,10 @@
 }
 
 func (o *Orders) releaseLocked(c *call) {
+	if c.issued {
+		o.forget(c)
+		return
+	}
 	c.state = callReleasing
 	o.push(o.releaseOp(c))
 }
@@ -182,6 +206,10 @@
 func (o *Orders) leave(c *call) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if c.issued {
+		o.mark(c)
+		return
+	}
 	o.finish(c)
 }
 
@@ -189,7 +217,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	c.state, c.result = callRecording, r
-	p := o.answerOp(c)
+	p, size := o.answerOp(c)
+	c.size = size
+	o.holding += size
 	if p.object == "" {
 		o.push(p)
 		return
@@ -201,6 +231,7 @@
 func (o *Orders) finish(c *call) {
 	if o.calls[c.row] == c {
 		delete(o.calls, c.row)
+		o.holding -= c.size
 		close(c.gone)
 	}
 }
--- a/core/order/key.go
+++ b/core/order/key.go
@@ -22,6 +22,9 @@
 
 func rowKey(w core.WorkspaceID, key string) string {
 	class := classOpaque
+	if _, ok := parseIssued(key); ok {
+		class = classIssued
+	}
 	if id, err := uuid.Parse(key); err == nil && id.Version() == 7 && id.String() == key {
 		class = classDated
 	}
--- a/core/order/lab_test.go
+++ b/core/order/lab_test.go
@@ -293,6 +293,7 @@
 	key    string
 	body   string
 	done   bool
+	ranYet int // executions of the key when the attempt ended
 	result order.Result
 	err    error
 }
@@ -308,7 +309,7 @@
 		result, err := h.orders.Do(h.ctx, r, func(context.Context) (order.Result, error) { return l.serve(h, a, b) })
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		a.done, a.result, a.err = true, result, err
+		a.done, a.result, a.err, a.ranYet = true, result, err, l.runs[key]
 	}()
 	synctest.Wait()
 	return a
--- a/core/order/model_test.go
+++ b/core/order/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +32,7 @@
 			"down", "up", "up", "limit", "late", "lost-ack", "lost-send", "land", "objects-down",
 		}).Draw(t, "kind"),
 		host: rapid.SampledFrom([]core.HostID{"a", "b", "c"}).Draw(t, "host"),
-		key:  rapid.SampledFrom([]string{"k1", "k2", "k3", "k4"}).Draw(t, "key"),
+		key:  rapid.SampledFrom([]string{"k1", "k2", "k3", "k4", "issued-1", "issued-2", "issued-3"}).Draw(t, "key"),
 		body: rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "body"),
 		mode: rapid.SampledFrom([]behaviour{
 			backendRuns, backendRuns, backendSlow, backendNone, backendRefuses, backendLoses, backendMissed, backendTwice,
@@ -57,7 +58,8 @@
 func play(t *testing.T, script []move) string {
 	l := newLab(t)
 	incarnation := uint64(1)
-	small := func(c *order.Config) { c.Inline, c.Batch = 40, 3 }
+	small := func(c *order.Config) { c.Inline, c.Batch, c.Period = 40, 3, 20*time.Second }
+	issued := make(map[string]string)
 	for _, name := range []core.HostID{"a", "b", "c"} {
 		l.boot(name, incarnation, small)
 	}
@@ -66,7 +68,14 @@
 		h := l.hosts[m.host]
 		switch m.kind {
 		case "ask":
-			l.ask(h, m.key, m.body, m.wait, m.mode)
+			key := m.key
+			if strings.HasPrefix(key, "issued") {
+				if issued[key] == "" {
+					issued[key] = h.orders.Prefix() + key
+				}
+				key = issued[key]
+			}
+			l.ask(h, key, m.body, m.wait, m.mode)
 			clean = clean && m.mode != backendLoses && m.mode != backendMissed && m.mode != backendTwice
 		case "advance":
 			l.advance(m.wait)
@@ -151,6 +160,8 @@
 		switch {
 		case a.done && a.code() == codes.OrderNotRun && l.sends[a.id] > 0:
 			return fmt.Sprintf("attempt %d of key %s was refused as not run, but ran", a.id, a.key)
+		case a.done && a.code() == codes.OrderNotRun && a.ranYet > 0 && strings.HasPrefix(a.key, "x~"):
+			return fmt.Sprintf("attempt %d of issued key %s was refused as not run after the key ran", a.id, a.key)
 		case a.done && a.err == nil && string(a.result.Body) != answerTo(a.key, a.body):
 			return fmt.Sprintf("attempt %d got %q for key %s and body %s", a.id, a.result.Body, a.key, a.body)
 		case a.done && a.err == nil && bodies[a.key] != a.body:
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
 
 	"azurering/core"
 	"azurering/core/codes"
@@ -69,6 +70,12 @@
 	// Skew bounds the difference between the hosts' wall clocks. Zero means
 	// 10 min.
 	Skew time.Duration
+	// Period is how long the prefix of issued keys stays the same; it is
+	// accepted for one period longer. Zero means 1 h.
+	Period time.Duration
+	// Hold bounds the bytes of answers that wait to be recorded. Zero means
+	// 32 MiB.
+	Hold int
 	// Sweep reports whether this host deletes expired records now. Nil
 	// means that it does. One sweeping host is enough for the fleet.
 	Sweep func() bool
@@ -135,6 +142,7 @@
 // for anything to be committed.
 type Orders struct {
 	cfg      Config
+	run      string // tells the runs of a host apart
 	wake     chan struct{}
 	wakePuts chan struct{}
 	free     chan struct{} // holds one item per commit in flight
@@ -142,10 +150,12 @@
 	mu       sync.Mutex
 	calls    map[string]*call // by row
 	queue    []*op
-	large    []*op            // answers that wait for the object store
-	ghosts   map[string]*call // by token: never sent, but the claim may still take effect
-	settling []*call          // ghosts whose row is to be read
-	limit    int              // writes in the next commit
+	large    []*op                         // answers that wait for the object store
+	ghosts   map[string]*call              // by token: never sent, but the claim may still take effect
+	settling []*call                       // ghosts whose row is to be read
+	limit    int                           // writes in the next commit
+	held     map[int64]map[string][32]byte // hashes of claimed issued keys, by period and row
+	holding  int                           // bytes of answers that are not recorded yet
 	retryAt  time.Duration
 	backoff  *backoff.ExponentialBackOff
 	cursor   string
@@ -161,11 +171,13 @@
 	b.RandomizationFactor = cfg.Jitter
 	o := &Orders{
 		cfg:      cfg,
+		run:      uuid.NewString(),
 		wake:     make(chan struct{}, 1),
 		wakePuts: make(chan struct{}, 1),
 		free:     make(chan struct{}, cfg.Writers),
 		calls:    make(map[string]*call),
 		ghosts:   make(map[string]*call),
+		held:     make(map[int64]map[string][32]byte),
 		backoff:  b,
 		limit:    cfg.Batch,
 	}
@@ -196,6 +208,8 @@
 	setTime(&c.CommitTimeout, 2*time.Second)
 	setTime(&c.Settle, time.Minute)
 	setTime(&c.Retention, 48*time.Hour)
+	setInt(&c.Hold, 32<<20)
+	setTime(&c.Period, defaultPeriod)
 	setTime(&c.Skew, 10*time.Minute)
 	c.Batch = min(c.Batch, core.CommitLimit)
 	c.Inline = min(c.Inline, 32<<10)
@@ -228,7 +242,8 @@
 // OrderMismatch (the key was used with another hash), OrderRunning,
 // OrderUnknown (the order may have run) or OrderNotRun (the order has not
 // run and will not run through this call; the cause says why). An answer is
-// returned before it is recorded; it is recorded in the background.
+// returned before it is recorded; it is recorded in the background. An
+// order whose key has the Prefix of this run needs no store to run.
 func (o *Orders) Do(ctx context.Context, r Request, send Send) (Result, error) {
 	if err := o.check(r); err != nil {
 		return Result{}, err
@@ -236,6 +251,9 @@
 	if r.Deadline == 0 {
 		r.Deadline = o.cfg.Timer.Now() + o.cfg.Wait
 	}
+	if k, ok := parseIssued(r.Key); ok {
+		return o.doIssued(ctx, r, k, send)
+	}
 	for {
 		result, again, err := o.attempt(ctx, r, send)
 		if !again {
--- a/core/order/queue.go
+++ b/core/order/queue.go
@@ -22,6 +22,7 @@
 const (
 	opClaim   opKind = "claim"
 	opAnswer  opKind = "answer"
+	opMark    opKind = "mark" // records an unknown outcome of an issued key
 	opRelease opKind = "release"
 	opSweep   opKind = "sweep"
 )
@@ -35,12 +36,13 @@
 	}}
 }
 
-func (o *Orders) answerOp(c *call) *op {
+// answerOp returns the op that records an answer, and the answer's size.
+func (o *Orders) answerOp(c *call) (*op, int) {
 	rec := record{
 		state: recordDone, host: o.cfg.Host, incarnation: o.cfg.Incarnation, hash: c.hash, claimed: c.claimed,
 		answer: encodeAnswer(c.row, c.result),
 	}
-	p := &op{kind: opAnswer, call: c}
+	p, size := &op{kind: opAnswer, call: c}, len(rec.answer)
 	if len(rec.answer) > o.cfg.Inline && o.cfg.Objects != nil {
 		p.body, p.object = rec.answer, objectName(rec.answer)
 		rec.answer, rec.object = nil, p.object
@@ -49,7 +51,10 @@
 		Kind: core.WritePut, Space: core.SpaceOrder, Key: c.row, Expect: 1, ExpectToken: c.token,
 		Token: uuid.NewString(), Value: rec.encode(),
 	}
-	return p
+	if c.issued {
+		p.write.Expect, p.write.ExpectToken = 0, ""
+	}
+	return p, size
 }
 
 func (o *Orders) releaseOp(c *call) *op {
@@ -120,6 +125,8 @@
 	case opAnswer:
 		o.stats.Recorded++
 		o.finish(p.call)
+	case opMark:
+		o.finish(p.call)
 	case opRelease:
 		o.stats.Released++
 		o.released(p.call)
@@ -150,7 +157,7 @@
 		}
 		p.call.state = callReleasing
 		o.dropClaim(p.call)
-	case opAnswer:
+	case opAnswer, opMark:
 		o.stats.Lost++
 		o.finish(p.call)
 	case opRelease:
--- a/core/order/repeat.go
+++ b/core/order/repeat.go
@@ -65,17 +65,26 @@
 	if rec.host == o.cfg.Host {
 		return o.works(row.Key, row.Token)
 	}
-	if o.cfg.Peers == nil || !o.cfg.Alive(rec.host, rec.incarnation) {
-		return false
+	running, err := o.peek(ctx, r, rec.host, rec.incarnation, row.Token)
+	return err == nil && running
+}
+
+// peek asks a host whether it works on a claim.
+func (o *Orders) peek(ctx context.Context, r Request, host core.HostID, incarnation uint64, token string) (bool, error) {
+	if o.cfg.Peers == nil || !o.cfg.Alive(host, incarnation) {
+		return false, codes.New(codes.PeerDown, "order: host %s is not alive", host)
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(o.cfg.CommitTimeout, max(r.Deadline-o.cfg.Timer.Now(), time.Millisecond)))
 	defer cancel()
-	answer, err := o.cfg.Peers.Call(ctx, rec.host, core.OrderPeek{Workspace: r.Workspace, Key: r.Key, Token: row.Token})
+	answer, err := o.cfg.Peers.Call(ctx, host, core.OrderPeek{Workspace: r.Workspace, Key: r.Key, Token: token})
 	if err != nil {
-		return false
+		return false, err
 	}
 	peeked, ok := answer.(core.OrderPeeked)
-	return ok && peeked.Running
+	if !ok {
+		return false, codes.New(codes.PeerKind, "order: unexpected answer %s", answer.Kind())
+	}
+	return peeked.Running, nil
 }
 
 // works reports whether a call with the token is at this host: it runs, or
@@ -95,5 +104,10 @@
 	if !ok {
 		return nil, codes.New(codes.PeerKind, "order: unexpected message %s", m.Kind())
 	}
-	return core.OrderPeeked{Running: o.works(rowKey(peek.Workspace, peek.Key), peek.Token)}, nil
+	row := rowKey(peek.Workspace, peek.Key)
+	if peek.Token != "" {
+		return core.OrderPeeked{Running: o.works(row, peek.Token)}, nil
+	}
+	claimed, err := o.claimedHere(row, peek.Key)
+	return core.OrderPeeked{Running: claimed}, err
 }
