order: keep room for small workspaces and drain at a stop

During an outage one workspace could fill the queue of waiting orders, and all others were refused. A workspace may now have as many orders pending as there is room left, so at most half. Drain waits for a graceful stop until answers are recorded and claims released. An order whose deadline has passed is refused before it is claimed.

TestStoreDownThenUp uses a size of six instead of three, because one workspace gets half of it; it still expects the fourth order to be refused.

Conclusion: a large workspace leaves room for the others.

--- a/core/order/call.go
+++ b/core/order/call.go
@@ -25,11 +25,12 @@
 // call is one order at this host, from its claim until its row needs no
 // more work. Its fields are guarded by Orders.mu after enter returned it.
 type call struct {
-	row     string
-	hash    [32]byte
-	token   string
-	claimed time.Time
-	state   callState
+	row       string
+	workspace core.WorkspaceID
+	hash      [32]byte
+	token     string
+	claimed   time.Time
+	state     callState
 	// inflight says that a commit with the claim is under way.
 	inflight bool
 	// doubt is set once a commit of the claim had an unknown outcome, at
@@ -60,30 +61,31 @@
 	if c := o.calls[row]; c != nil {
 		return o.meet(r, c)
 	}
-	if err := o.full(); err != nil {
+	c, err = o.admit(r, row)
+	if err != nil {
 		return nil, nil, err
 	}
-	c = newCall(row, r.Hash, o.cfg.Wall())
-	o.calls[row] = c
 	o.push(o.claimOp(c))
 	return c, nil, nil
 }
 
-func newCall(row string, hash [32]byte, claimed time.Time) *call {
-	return &call{
-		row: row, hash: hash, token: uuid.NewString(), claimed: claimed, state: callWaiting,
-		verdict: make(chan verdict, 1), gone: make(chan struct{}),
+// admit adds a call, or refuses it while too much is pending. A workspace
+// may have as many orders pending as there is room left, so that one with
+// many leaves room for the others.
+func (o *Orders) admit(r Request, row string) (*call, error) {
+	left := o.cfg.Size - len(o.calls) - len(o.ghosts)
+	if o.pending[r.Workspace] >= left || o.holding >= o.cfg.Hold {
+		full := codes.New(codes.QueueFull, "order: %d orders of the workspace are pending, %d bytes of answers, room is left for %d orders",
+			o.pending[r.Workspace], o.holding, left)
+		return nil, codes.Wrap(full, codes.OrderNotRun, "order: too many orders wait")
 	}
-}
-
-// full refuses a new order while too much is pending.
-func (o *Orders) full() error {
-	pending := len(o.calls) + len(o.ghosts)
-	if pending < o.cfg.Size && o.holding < o.cfg.Hold {
-		return nil
+	c := &call{
+		row: row, workspace: r.Workspace, hash: r.Hash, token: uuid.NewString(), claimed: o.cfg.Wall(), state: callWaiting,
+		verdict: make(chan verdict, 1), gone: make(chan struct{}),
 	}
-	full := codes.New(codes.QueueFull, "order: %d orders and %d bytes of answers are pending", pending, o.holding)
-	return codes.Wrap(full, codes.OrderNotRun, "order: too many orders wait")
+	o.calls[row] = c
+	o.pending[r.Workspace]++
+	return c, nil
 }
 
 func (o *Orders) meet(r Request, c *call) (*call, *call, error) {
@@ -232,6 +234,9 @@
 	if o.calls[c.row] == c {
 		delete(o.calls, c.row)
 		o.holding -= c.size
+		if o.pending[c.workspace]--; o.pending[c.workspace] == 0 {
+			delete(o.pending, c.workspace)
+		}
 		close(c.gone)
 	}
 }
--- a/core/order/issued.go
+++ b/core/order/issued.go
@@ -102,12 +102,11 @@
 	if claimed || k.period < now-1 || k.period > now {
 		return nil, nil, nil
 	}
-	if err := o.full(); err != nil {
+	c, err = o.admit(r, row)
+	if err != nil {
 		return nil, nil, err
 	}
-	c = newCall(row, r.Hash, o.cfg.Wall())
 	c.state, c.issued, c.period = callClaimed, true, k.period
-	o.calls[row] = c
 	if o.held[k.period] == nil {
 		o.held[k.period] = make(map[string][32]byte)
 	}
--- a/core/order/issued_test.go
+++ b/core/order/issued_test.go
@@ -1,6 +1,7 @@
 package order_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -35,8 +36,18 @@
 			require.Equal(t, codes.OrderMismatch, l.ask(a, k, "y", time.Second, backendRuns).code())
 		}
 		require.Equal(t, 60, a.orders.Stats().Pending)
+		short, cancel := context.WithCancel(a.ctx)
+		cancel()
+		require.Error(t, a.orders.Drain(short), "answers are not recorded")
+		drained := false
+		go func() {
+			drained = a.orders.Drain(a.ctx) == nil
+		}()
+		l.advance(time.Second)
+		require.False(t, drained)
 		l.table.SetFault(fakes.FaultNone)
 		l.advance(5 * time.Second)
+		require.True(t, drained)
 		require.Zero(t, a.orders.Stats().Pending)
 		for _, k := range keys {
 			for _, h := range []*host{a, b} {
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -44,7 +44,8 @@
 	Alive func(core.HostID, uint64) bool
 
 	// Size bounds the orders that wait, run, or are being recorded or
-	// released. Zero means 4096.
+	// released. One workspace gets at most half, and less if others have
+	// orders pending. Zero means 4096.
 	Size int
 	// Batch bounds the writes of a commit. Zero means core.CommitLimit.
 	Batch int
@@ -148,7 +149,8 @@
 	free     chan struct{} // holds one item per commit in flight
 
 	mu       sync.Mutex
-	calls    map[string]*call // by row
+	calls    map[string]*call         // by row
+	pending  map[core.WorkspaceID]int // calls by workspace
 	queue    []*op
 	large    []*op                         // answers that wait for the object store
 	ghosts   map[string]*call              // by token: never sent, but the claim may still take effect
@@ -176,6 +178,7 @@
 		wakePuts: make(chan struct{}, 1),
 		free:     make(chan struct{}, cfg.Writers),
 		calls:    make(map[string]*call),
+		pending:  make(map[core.WorkspaceID]int),
 		ghosts:   make(map[string]*call),
 		held:     make(map[int64]map[string][32]byte),
 		backoff:  b,
@@ -235,6 +238,26 @@
 	return s
 }
 
+// Drain waits until no order is pending, for a graceful shutdown after the
+// last Do. It returns the context's error with the code OrderUnknown if that
+// ends first: answers are not recorded yet, or claims not released.
+func (o *Orders) Drain(ctx context.Context) error {
+	for {
+		pending := o.Stats().Pending
+		if pending == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return codes.Wrap(ctx.Err(), codes.OrderUnknown, "order: %d orders are still pending", pending)
+		case <-o.cfg.Timer.After(drainPause):
+		}
+	}
+}
+
+// drainPause is how often Drain looks.
+const drainPause = 100 * time.Millisecond
+
 // Do runs an order at most once. send is called at most once, and only
 // after the claim of this call is committed.
 //
@@ -251,6 +274,9 @@
 	if r.Deadline == 0 {
 		r.Deadline = o.cfg.Timer.Now() + o.cfg.Wait
 	}
+	if err := o.stillWanted(ctx, r); err != nil {
+		return Result{}, err
+	}
 	if k, ok := parseIssued(r.Key); ok {
 		return o.doIssued(ctx, r, k, send)
 	}
--- a/core/order/steps_test.go
+++ b/core/order/steps_test.go
@@ -1,6 +1,7 @@
 package order_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -188,13 +189,17 @@
 func TestStoreDownThenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLab(t)
-		a := l.boot("a", 1, func(c *order.Config) { c.Size = 3 })
+		a := l.boot("a", 1, func(c *order.Config) { c.Size = 6 })
 		l.table.SetFault(fakes.FaultDown)
 		short := l.ask(a, "short", "x", 5*time.Second, backendRuns)
 		long := l.ask(a, "long", "x", 60*time.Second, backendRuns)
 		l.ask(a, "third", "x", 60*time.Second, backendRuns)
 		full := l.ask(a, "fourth", "x", 60*time.Second, backendRuns)
-		require.Equal(t, codes.OrderNotRun, full.code())
+		require.Equal(t, codes.OrderNotRun, full.code(), "three wait, and there is room for three more")
+		small := order.Request{Workspace: "small", Key: "k", Deadline: l.timer.Now() + time.Second}
+		go func() { _, _ = a.orders.Do(a.ctx, small, nil) }()
+		synctest.Wait()
+		require.Equal(t, 4, a.orders.Stats().Pending, "a small workspace still gets in")
 		l.advance(30 * time.Second)
 		require.Equal(t, codes.OrderNotRun, short.code())
 		require.False(t, long.done)
@@ -203,6 +208,9 @@
 		require.NoError(t, long.err)
 		require.True(t, long.done)
 		require.Equal(t, map[string]int{"long": 1, "third": 1}, l.runs)
+		for i := range 10 {
+			require.NoError(t, l.ask(a, fmt.Sprint("later-", i), "x", time.Second, backendRuns).err, "room is given back")
+		}
 		l.stop()
 	})
 }
