order: state which host names issued keys allow

The parts of an issued key are separated by ~, so a host whose name holds it would not recognise its own keys and refuse them. Documentation only.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -35,6 +35,7 @@
 	// time.Now. The clocks of all hosts must agree within Skew.
 	Wall func() time.Time
 
+	// Host must not hold "~", which separates the parts of issued keys.
 	Host        core.HostID
 	Incarnation uint64
 	// Alive reports whether membership sees a host as alive. A host that
