--- a/core/order/call.go
+++ b/core/order/call.go
@@ -19,16 +19,18 @@
 	callClaimed   callState = "claimed"   // the claim is committed; the order may be sent
 	callRecording callState = "recording" // the answer is known and being recorded
 	callReleasing callState = "releasing" // never run; the claim is being released
+	callMarking   callState = "marking"   // may have run; an issued key without a row yet
 )
 
 // call is one order at this host, from its claim until its row needs no
 // more work. Its fields are guarded by Orders.mu after enter returned it.
 type call struct {
-	row     string
-	hash    [32]byte
-	token   string
-	claimed time.Time
-	state   callState
+	row       string
+	workspace core.WorkspaceID
+	hash      [32]byte
+	token     string
+	claimed   time.Time
+	state     callState
 	// inflight says that a commit with the claim is under way.
 	inflight bool
 	// doubt is set once a commit of the claim had an unknown outcome, at
@@ -36,6 +38,9 @@
 	// the claim was committed by another attempt and released.
 	doubt   bool
 	doubtAt time.Duration
+	issued  bool  // the key is issued: the claim is in memory only
+	period  int64 // of an issued key
+	size    int   // bytes of the answer that are counted in Orders.holding
 	result  Result
 	verdict chan verdict  // gets one verdict on the claim
 	gone    chan struct{} // closed when the call leaves Orders.calls
@@ -56,17 +61,31 @@
 	if c := o.calls[row]; c != nil {
 		return o.meet(r, c)
 	}
-	if pending := len(o.calls) + len(o.ghosts); pending >= o.cfg.Size {
-		full := codes.New(codes.QueueFull, "order: %d orders are pending", pending)
-		return nil, nil, codes.Wrap(full, codes.OrderNotRun, "order: too many orders wait")
+	c, err = o.admit(r, row)
+	if err != nil {
+		return nil, nil, err
 	}
-	c = &call{
-		row: row, hash: r.Hash, token: uuid.NewString(), claimed: o.cfg.Wall(), state: callWaiting,
+	o.push(o.claimOp(c))
+	return c, nil, nil
+}
+
+// admit adds a call, or refuses it while too much is pending. A workspace
+// may have as many orders pending as there is room left, so that one with
+// many leaves room for the others.
+func (o *Orders) admit(r Request, row string) (*call, error) {
+	left := o.cfg.Size - len(o.calls) - len(o.ghosts)
+	if o.pending[r.Workspace] >= left || o.holding >= o.cfg.Hold {
+		full := codes.New(codes.QueueFull, "order: %d orders of the workspace are pending, %d bytes of answers, room is left for %d orders",
+			o.pending[r.Workspace], o.holding, left)
+		return nil, codes.Wrap(full, codes.OrderNotRun, "order: too many orders wait")
+	}
+	c := &call{
+		row: row, workspace: r.Workspace, hash: r.Hash, token: uuid.NewString(), claimed: o.cfg.Wall(), state: callWaiting,
 		verdict: make(chan verdict, 1), gone: make(chan struct{}),
 	}
 	o.calls[row] = c
-	o.push(o.claimOp(c))
-	return c, nil, nil
+	o.pending[r.Workspace]++
+	return c, nil
 }
 
 func (o *Orders) meet(r Request, c *call) (*call, *call, error) {
@@ -79,6 +98,9 @@
 	if c.state == callRecording {
 		return nil, c, nil
 	}
+	if c.state == callMarking {
+		return nil, nil, codes.New(codes.OrderUnknown, "order: outcome of the order is unknown")
+	}
 	return nil, nil, codes.New(codes.OrderRunning, "order: the order is running")
 }
 
@@ -174,6 +196,10 @@
 }
 
 func (o *Orders) releaseLocked(c *call) {
+	if c.issued {
+		o.forget(c)
+		return
+	}
 	c.state = callReleasing
 	o.push(o.releaseOp(c))
 }
@@ -182,6 +208,10 @@
 func (o *Orders) leave(c *call) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if c.issued {
+		o.mark(c)
+		return
+	}
 	o.finish(c)
 }
 
@@ -189,7 +219,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	c.state, c.result = callRecording, r
-	p := o.answerOp(c)
+	p, size := o.answerOp(c)
+	c.size = size
+	o.holding += size
 	if p.object == "" {
 		o.push(p)
 		return
@@ -201,6 +233,10 @@
 func (o *Orders) finish(c *call) {
 	if o.calls[c.row] == c {
 		delete(o.calls, c.row)
+		o.holding -= c.size
+		if o.pending[c.workspace]--; o.pending[c.workspace] == 0 {
+			delete(o.pending, c.workspace)
+		}
 		close(c.gone)
 	}
 }
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
 
 	"azurering/core"
 	"azurering/core/codes"
@@ -34,6 +35,7 @@
 	// time.Now. The clocks of all hosts must agree within Skew.
 	Wall func() time.Time
 
+	// Host must not hold "~", which separates the parts of issued keys.
 	Host        core.HostID
 	Incarnation uint64
 	// Alive reports whether membership sees a host as alive. A host that
@@ -43,7 +45,8 @@
 	Alive func(core.HostID, uint64) bool
 
 	// Size bounds the orders that wait, run, or are being recorded or
-	// released. Zero means 4096.
+	// released. One workspace gets at most half, and less if others have
+	// orders pending. Zero means 4096.
 	Size int
 	// Batch bounds the writes of a commit. Zero means core.CommitLimit.
 	Batch int
@@ -69,6 +72,12 @@
 	// Skew bounds the difference between the hosts' wall clocks. Zero means
 	// 10 min.
 	Skew time.Duration
+	// Period is how long the prefix of issued keys stays the same; it is
+	// accepted for one period longer. Zero means 1 h.
+	Period time.Duration
+	// Hold bounds the bytes of answers that wait to be recorded. Zero means
+	// 32 MiB.
+	Hold int
 	// Sweep reports whether this host deletes expired records now. Nil
 	// means that it does. One sweeping host is enough for the fleet.
 	Sweep func() bool
@@ -135,17 +144,21 @@
 // for anything to be committed.
 type Orders struct {
 	cfg      Config
+	run      string // tells the runs of a host apart
 	wake     chan struct{}
 	wakePuts chan struct{}
 	free     chan struct{} // holds one item per commit in flight
 
 	mu       sync.Mutex
-	calls    map[string]*call // by row
+	calls    map[string]*call         // by row
+	pending  map[core.WorkspaceID]int // calls by workspace
 	queue    []*op
-	large    []*op            // answers that wait for the object store
-	ghosts   map[string]*call // by token: never sent, but the claim may still take effect
-	settling []*call          // ghosts whose row is to be read
-	limit    int              // writes in the next commit
+	large    []*op                         // answers that wait for the object store
+	ghosts   map[string]*call              // by token: never sent, but the claim may still take effect
+	settling []*call                       // ghosts whose row is to be read
+	limit    int                           // writes in the next commit
+	held     map[int64]map[string][32]byte // hashes of claimed issued keys, by period and row
+	holding  int                           // bytes of answers that are not recorded yet
 	retryAt  time.Duration
 	backoff  *backoff.ExponentialBackOff
 	cursor   string
@@ -161,11 +174,14 @@
 	b.RandomizationFactor = cfg.Jitter
 	o := &Orders{
 		cfg:      cfg,
+		run:      uuid.NewString(),
 		wake:     make(chan struct{}, 1),
 		wakePuts: make(chan struct{}, 1),
 		free:     make(chan struct{}, cfg.Writers),
 		calls:    make(map[string]*call),
+		pending:  make(map[core.WorkspaceID]int),
 		ghosts:   make(map[string]*call),
+		held:     make(map[int64]map[string][32]byte),
 		backoff:  b,
 		limit:    cfg.Batch,
 	}
@@ -196,6 +212,8 @@
 	setTime(&c.CommitTimeout, 2*time.Second)
 	setTime(&c.Settle, time.Minute)
 	setTime(&c.Retention, 48*time.Hour)
+	setInt(&c.Hold, 32<<20)
+	setTime(&c.Period, defaultPeriod)
 	setTime(&c.Skew, 10*time.Minute)
 	c.Batch = min(c.Batch, core.CommitLimit)
 	c.Inline = min(c.Inline, 32<<10)
@@ -221,6 +239,26 @@
 	return s
 }
 
+// Drain waits until no order is pending, for a graceful shutdown after the
+// last Do. It returns the context's error with the code OrderUnknown if that
+// ends first: answers are not recorded yet, or claims not released.
+func (o *Orders) Drain(ctx context.Context) error {
+	for {
+		pending := o.Stats().Pending
+		if pending == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return codes.Wrap(ctx.Err(), codes.OrderUnknown, "order: %d orders are still pending", pending)
+		case <-o.cfg.Timer.After(drainPause):
+		}
+	}
+}
+
+// drainPause is how often Drain looks.
+const drainPause = 100 * time.Millisecond
+
 // Do runs an order at most once. send is called at most once, and only
 // after the claim of this call is committed.
 //
@@ -228,7 +266,8 @@
 // OrderMismatch (the key was used with another hash), OrderRunning,
 // OrderUnknown (the order may have run) or OrderNotRun (the order has not
 // run and will not run through this call; the cause says why). An answer is
-// returned before it is recorded; it is recorded in the background.
+// returned before it is recorded; it is recorded in the background. An
+// order whose key has the Prefix of this run needs no store to run.
 func (o *Orders) Do(ctx context.Context, r Request, send Send) (Result, error) {
 	if err := o.check(r); err != nil {
 		return Result{}, err
@@ -236,6 +275,12 @@
 	if r.Deadline == 0 {
 		r.Deadline = o.cfg.Timer.Now() + o.cfg.Wait
 	}
+	if err := o.stillWanted(ctx, r); err != nil {
+		return Result{}, err
+	}
+	if k, ok := parseIssued(r.Key); ok {
+		return o.doIssued(ctx, r, k, send)
+	}
 	for {
 		result, again, err := o.attempt(ctx, r, send)
 		if !again {
