--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -68,7 +68,9 @@
 	Queue    int // frames that wait per connection and direction; zero means 64
 	Workers  int // handlers that run at once per connection; zero means 8
 
-	Timer core.Timer         // nil means real time
+	// Timer paces idle connections and pauses between dials; nil means real
+	// time. Timeout and DialTimeout are always in real time.
+	Timer core.Timer
 	Log   logrus.FieldLogger // nil means no log
 }
 
--- a/io/stand/stand_test.go
+++ b/io/stand/stand_test.go
@@ -174,6 +174,14 @@
 	require.Equal(t, map[string]string{"a": "leaving"}, hosts(t, s), "still named one lag after it expired")
 	clock.Advance(time.Second)
 	require.Empty(t, hosts(t, s))
+	// Announcements further apart than the expiry leave a gap in the list.
+	announce(s, "c", "live")
+	clock.Advance(35 * time.Second)
+	announce(s, "c", "live")
+	clock.Advance(6 * time.Second) // the list shows the time 31 s after the first
+	require.Empty(t, hosts(t, s))
+	clock.Advance(4 * time.Second)
+	require.Equal(t, map[string]string{"c": "live"}, hosts(t, s))
 	for _, state := range []string{"dead", ""} {
 		require.Equal(t, http.StatusBadRequest, announce(s, "b", state))
 	}
