entry: keep slot loans beside the pools

A run of the demo hung: the loan holder told the pools of a change under its lock, and the pools asked the holder for its loans under theirs. The loans are now kept between them and the pools are woken by a goroutine of their own. Before: TestRunHoldsUnderFaults hung after 250 s; after: it ends in 29 s with the race detector.

--- a/app/entry/limits.go
+++ b/app/entry/limits.go
@@ -75,7 +75,7 @@
 		Lenders: func() []core.DomainID { return otherDomains(d.State.Log.Current().Sheet, d.Self.Domain) },
 		Changed: func(now time.Duration, r core.Resource, parts []share.Part) {
 			if strings.HasPrefix(string(r), "slots/") {
-				d.Slots.changed(now)
+				d.Slots.changed(r, parts)
 				return
 			}
 			d.Limiter.SetLoans(now, r, parts)
--- a/app/entry/pools.go
+++ b/app/entry/pools.go
@@ -30,12 +30,16 @@
 	keptFree = 5
 )
 
-// slotUse tells the loans what the pools use. It exists before the pools.
+// slotUse stands between the loans and the pools, which each hold a lock
+// when they ask the other. It keeps the slot loans, so that the pools need
+// not ask the holder, and wakes the pools from a goroutine of their own.
 type slotUse struct {
 	pools atomic.Pointer[pools]
+	parts sync.Map // of core.Resource to []share.Part
+	wake  chan struct{}
 }
 
-func newSlotUse() *slotUse { return &slotUse{} }
+func newSlotUse() *slotUse { return &slotUse{wake: make(chan struct{}, 1)} }
 
 func (u *slotUse) inUse(r core.Resource) int64 {
 	if p := u.pools.Load(); p != nil {
@@ -44,10 +48,23 @@
 	return 0
 }
 
-func (u *slotUse) changed(now time.Duration) {
-	if p := u.pools.Load(); p != nil {
-		p.wake(now)
+// changed takes in the loans of a server. It fits
+// share.HolderConfig.Changed, which holds the holder's lock.
+func (u *slotUse) changed(r core.Resource, parts []share.Part) {
+	u.parts.Store(r, parts)
+	select {
+	case u.wake <- struct{}{}:
+	default:
+	}
+}
+
+// held returns the slots of a server that this host may use now.
+func (u *slotUse) held(id core.ServerID, now time.Duration) int {
+	parts, ok := u.parts.Load(core.SlotsResource(id))
+	if !ok {
+		return 0
 	}
+	return int(share.Sum(parts.([]share.Part), now).Slots)
 }
 
 // pools holds one pool per service for the backend servers of the own
@@ -58,6 +75,7 @@
 	holder  *share.Holder
 	group   *member.Group
 	servers core.Servers
+	use     *slotUse
 
 	mu       sync.RWMutex
 	services map[core.ServiceID]*pool.Pool
@@ -85,7 +103,7 @@
 
 func newPools(d poolsDeps) *pools {
 	p := &pools{
-		self: d.Self, timer: d.Timer, holder: d.Holder, group: d.Group, servers: d.Servers,
+		self: d.Self, timer: d.Timer, holder: d.Holder, group: d.Group, servers: d.Servers, use: d.Use,
 		services: make(map[core.ServiceID]*pool.Pool),
 		short:    make(map[core.ServiceID]bool),
 		probes:   make(map[core.ServerID]probeResult),
@@ -146,7 +164,7 @@
 }
 
 func (p *pools) held(id core.ServerID) int {
-	return int(p.holder.Held(core.SlotsResource(id), p.timer.Now()).Slots)
+	return p.use.held(id, p.timer.Now())
 }
 
 func (p *pools) service(name core.ServiceID) *pool.Pool {
@@ -168,6 +186,18 @@
 	p.each(func(_ core.ServiceID, one *pool.Pool) { one.Wake(now) })
 }
 
+// runWake wakes the pools when slot loans have changed.
+func (p *pools) runWake(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.use.wake:
+			p.wake(p.timer.Now())
+		}
+	}
+}
+
 // inUse returns the requests in flight at a server, for a slot resource.
 func (p *pools) inUse(r core.Resource) int64 {
 	p.mu.RLock()
@@ -350,6 +380,7 @@
 }
 
 func runPools(d *duties, p *pools) {
+	d.add(p.runWake)
 	d.every("slots", slotPeriod, func(context.Context) error {
 		p.tick()
 		p.wake(p.timer.Now())
