--- a/app/demo/demo.go
+++ b/app/demo/demo.go
@@ -22,6 +22,9 @@
 // three quarters where that applies.
 type Faults struct {
 	StoreDown    bool // the platform's store and host list are down
+	StoreSlow    bool // each request to the platform takes 300 ms longer
+	StoreLossy   bool // the platform drops the answers of writes that took effect
+	CutRegion    bool // the region of the store is cut off and the platform is down
 	CutDomain    bool // one failure domain is cut off from all others and the platform
 	KillEntry    bool // one entry host ends without a shutdown
 	StopEntry    bool // one entry host is stopped gracefully
--- a/app/demo/faults.go
+++ b/app/demo/faults.go
@@ -13,6 +13,9 @@
 // seconds in which the change reaches all hosts.
 const drainGrace = 3 * time.Second
 
+// storeDelay is how much longer a slow platform takes.
+const storeDelay = 300 * time.Millisecond
+
 // director makes the faults happen.
 type director struct {
 	world  *world
@@ -72,8 +75,17 @@
 			d.world.audit.fault("demo: platform: %v", err)
 		}
 	}
+	if d.faults.StoreSlow {
+		d.platformFault(stand.Fault{Kind: stand.FaultSlow, Delay: storeDelay})
+	}
+	if d.faults.StoreLossy {
+		d.platformFault(stand.Fault{Kind: stand.FaultDropAfter, Service: stand.Table})
+	}
 	if d.faults.CutDomain {
-		d.cut()
+		d.cut(d.cutOff())
+	}
+	if d.faults.CutRegion {
+		d.cutRegion()
 	}
 	if d.faults.KillEntry {
 		h := d.victim()
@@ -87,24 +99,40 @@
 }
 
 func (d *director) heal() {
-	if d.faults.StoreDown {
-		d.say("the platform is back")
-		if err := d.world.platform.SetDown(false); err != nil {
-			d.world.audit.fault("demo: platform: %v", err)
+	d.say("links and platform work again")
+	if err := d.world.platform.SetDown(false); err != nil {
+		d.world.audit.fault("demo: platform: %v", err)
+	}
+	_ = d.world.platform.SetFaults()
+	for _, r := range d.world.plan.regions {
+		for _, domain := range r.Domains {
+			d.world.net.set(domain, false)
 		}
 	}
-	if d.faults.CutDomain {
-		d.say("failure domain %s is connected again", d.cutOff())
-		d.world.net.set(d.cutOff(), false)
-		_ = d.world.platform.SetFaults()
+}
+
+// platformFault adds a fault of the platform.
+func (d *director) platformFault(f stand.Fault) {
+	d.say("fault: platform: %s", f.Kind)
+	if err := d.world.platform.SetFaults(append(d.world.platform.Faults(), f)...); err != nil {
+		d.world.audit.fault("demo: platform: %v", err)
 	}
 }
 
-func (d *director) cut() {
-	domain := d.cutOff()
+// cut cuts a domain off from all others and from the platform.
+func (d *director) cut(domain core.DomainID) {
 	d.say("fault: failure domain %s is cut off", domain)
 	d.world.net.set(domain, true)
-	if err := d.world.platform.SetFaults(stand.Fault{Kind: stand.FaultCut, Identity: string(domain)}); err != nil {
+	d.platformFault(stand.Fault{Kind: stand.FaultCut, Identity: string(domain)})
+}
+
+// cutRegion takes away the region in which the platform is.
+func (d *director) cutRegion() {
+	for _, domain := range d.world.plan.regions[0].Domains {
+		d.say("fault: failure domain %s is cut off", domain)
+		d.world.net.set(domain, true)
+	}
+	if err := d.world.platform.SetDown(true); err != nil {
 		d.world.audit.fault("demo: platform: %v", err)
 	}
 }
