flow: tell a lost proof from a withdrawn key

Package client takes 2003 as final. The grant now tells why it ended. TestKeyEndsWhileWaiting covers both.

--- a/app/entry/adapt.go
+++ b/app/entry/adapt.go
@@ -27,7 +27,8 @@
 		return core.Grant{}, err
 	}
 	// The streams of a key share one watch, so there is nothing to release.
-	return core.Grant{Key: id, Workspace: workspace, Revoked: k.keys.Watch(id).Done(), Release: func() {}}, nil
+	w := k.keys.Watch(id)
+	return core.Grant{Key: id, Workspace: workspace, Revoked: w.Done(), Valid: w.Err, Release: func() {}}, nil
 }
 
 // admitter adapts rates.Limiter to core.Admitter.
--- a/core/flow.go
+++ b/core/flow.go
@@ -13,6 +13,9 @@
 	// Revoked is closed when the key was withdrawn or the host can no longer
 	// prove that it was not. It is nil on open routes.
 	Revoked <-chan struct{}
+	// Valid returns nil while the key may be used, and otherwise an error
+	// with KeyWithdrawn, KeyUnknown or KeyUnproven.
+	Valid func() error
 	// Release ends the watch on the key. It may be called more than once.
 	Release func()
 }
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -63,9 +63,9 @@
 	core.Response
 	Workspace core.WorkspaceID
 	Class     core.Class
-	// Revoked is closed when the key of the request stops being valid while
+	// Grant is that of the request's key, which may stop being valid while
 	// the answer streams.
-	Revoked <-chan struct{}
+	Grant core.Grant
 }
 
 // Flow serves calls. It is safe for concurrent use.
@@ -121,7 +121,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	answer := Answer{Workspace: grant.Workspace, Class: route.Class, Revoked: grant.Revoked}
+	answer := Answer{Workspace: grant.Workspace, Class: route.Class, Grant: grant}
 	ctx, started, cancel := bound(ctx, route, c)
 	answer.Response, err = f.run(ctx, route, grant, c)
 	if err != nil {
@@ -184,7 +184,7 @@
 // is ignored and dropped.
 func (f *Flow) grant(route core.Route, c Call) (core.Grant, error) {
 	if route.Access == core.AccessOpen {
-		return core.Grant{Workspace: route.Workspace, Release: func() {}}, nil
+		return core.Grant{Workspace: route.Workspace, Valid: func() error { return nil }, Release: func() {}}, nil
 	}
 	return f.cfg.Keys.Check(c.Bearer)
 }
@@ -197,8 +197,8 @@
 		return core.Response{}, err
 	}
 	// Waiting for the rate may have taken long enough for a withdrawal.
-	if revoked(grant) {
-		return core.Response{}, codes.New(codes.KeyWithdrawn, "flow: the key was withdrawn while the request waited")
+	if err := grant.Valid(); err != nil {
+		return core.Response{}, err
 	}
 	r := core.Request{
 		Workspace: grant.Workspace, Service: c.Service, Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body,
@@ -213,15 +213,6 @@
 	return resp, sendError(ctx, err)
 }
 
-func revoked(g core.Grant) bool {
-	select {
-	case <-g.Revoked:
-		return true
-	default:
-		return false
-	}
-}
-
 // order runs an order through its claim. Its answer is read whole before
 // it is recorded and returned.
 func (f *Flow) order(ctx context.Context, route core.Route, grant core.Grant, c Call, r core.Request) (core.Response, error) {
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -24,6 +24,7 @@
 	capError   error
 	poolError  error
 	revoked    chan struct{}
+	revokedBy  codes.Code
 	sends      []core.SendState // failures of the servers, in order; then success
 	remote     core.SendState   // failure of the remote, empty for success
 	hasRemote  bool
@@ -41,7 +42,17 @@
 	if l.keyError != nil {
 		return core.Grant{}, l.keyError
 	}
-	return core.Grant{Key: "k", Workspace: core.WorkspaceID(bearer), Revoked: l.revoked, Release: func() { l.released++ }}, nil
+	valid := func() error {
+		select {
+		case <-l.revoked:
+			return codes.New(l.revokedBy, "lab: scripted")
+		default:
+			return nil
+		}
+	}
+	return core.Grant{
+		Key: "k", Workspace: core.WorkspaceID(bearer), Revoked: l.revoked, Valid: valid, Release: func() { l.released++ },
+	}, nil
 }
 
 func (l *lab) Admit(context.Context, core.WorkspaceID) error {
@@ -196,15 +207,18 @@
 	}
 }
 
-// Guards against a request that starts with a key that was withdrawn while
-// the request waited for its rate.
-func TestWithdrawnWhileWaiting(t *testing.T) {
-	l := lab{revoked: make(chan struct{})}
-	l.onAdmit = func() { close(l.revoked) }
-	_, err := l.flow().Serve(context.Background(), theSheet(), call("GET", "/q"))
-	require.Equal(t, codes.KeyWithdrawn, codes.Of(err))
-	require.Empty(t, l.sent)
-	require.Equal(t, 1, l.released)
+// Guards against a request that starts with a key that stopped being valid
+// while the request waited for its rate, and against a refusal that calls a
+// key withdrawn when the host has only lost its proof.
+func TestKeyEndsWhileWaiting(t *testing.T) {
+	for _, code := range []codes.Code{codes.KeyWithdrawn, codes.KeyUnproven} {
+		l := lab{revoked: make(chan struct{}), revokedBy: code}
+		l.onAdmit = func() { close(l.revoked) }
+		_, err := l.flow().Serve(context.Background(), theSheet(), call("GET", "/q"))
+		require.Equal(t, code, codes.Of(err))
+		require.Empty(t, l.sent)
+		require.Equal(t, 1, l.released)
+	}
 }
 
 // Guards against an order that is cut because its caller lost the
--- a/core/flow/send.go
+++ b/core/flow/send.go
@@ -32,7 +32,7 @@
 		}
 		pick.Tried = append(pick.Tried, server)
 	}
-	if last.State != core.SendMaybe && f.cfg.Remote != nil && ctx.Err() == nil && !revoked(grant) {
+	if last.State != core.SendMaybe && f.cfg.Remote != nil && ctx.Err() == nil && grant.Valid() == nil {
 		resp, err := f.cfg.Remote.Send(ctx, r, route.Class)
 		if err == nil {
 			return resp, nil
@@ -50,9 +50,9 @@
 		return core.Response{}, "", &core.SendError{State: core.SendNone, Cause: err}
 	}
 	server := slot.Server()
-	if revoked(grant) {
+	if err := grant.Valid(); err != nil {
 		slot.Done(core.Outcome{})
-		return core.Response{}, "", &core.SendError{State: core.SendNone, Cause: errWithdrawn}
+		return core.Response{}, "", &core.SendError{State: core.SendNone, Cause: err}
 	}
 	start := f.cfg.Timer.Now()
 	resp, err := f.cfg.Server.Send(ctx, server, r)
@@ -66,8 +66,6 @@
 	return resp, server.Name, nil
 }
 
-var errWithdrawn = codes.New(codes.KeyWithdrawn, "flow: the key was withdrawn while the request waited")
-
 // mayRetry says whether another server may be tried. An idempotent request
 // always may; an order only if it certainly did not run.
 func mayRetry(route core.Route, state core.SendState) bool {
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -43,7 +43,15 @@
 	if bearer != secret {
 		return core.Grant{}, codes.New(codes.KeyUnknown, "lab: unknown key")
 	}
-	return core.Grant{Workspace: "loft-a", Revoked: l.revoked, Release: func() {}}, nil
+	valid := func() error {
+		select {
+		case <-l.revoked:
+			return codes.New(codes.KeyWithdrawn, "lab: withdrawn")
+		default:
+			return nil
+		}
+	}
+	return core.Grant{Workspace: "loft-a", Revoked: l.revoked, Valid: valid, Release: func() {}}, nil
 }
 
 func (l *lab) Admit(context.Context, core.WorkspaceID) error { return l.admitError }
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -16,8 +16,6 @@
 // pieceSize bounds the memory of one streaming answer.
 const pieceSize = 32 << 10
 
-var errRevoked = codes.New(codes.KeyWithdrawn, "caller: the key was withdrawn while the answer was sent")
-
 // stream copies an answer to the caller and returns the bytes sent. It ends
 // with an error if the answer is cut, the caller makes no progress, or the
 // key of the request stops being valid.
@@ -50,7 +48,7 @@
 // being valid, also while that server is silent.
 func cutOnRevoke(answer flow.Answer, done <-chan struct{}) {
 	select {
-	case <-answer.Revoked:
+	case <-answer.Grant.Revoked:
 		_ = answer.Body.Close()
 	case <-done:
 	}
@@ -63,10 +61,8 @@
 	var sent int64
 	for {
 		n, readErr := answer.Body.Read(buf)
-		select {
-		case <-answer.Revoked:
-			return sent, errRevoked
-		default:
+		if err := answer.Grant.Valid(); err != nil {
+			return sent, err
 		}
 		if n > 0 {
 			_ = control.SetWriteDeadline(time.Now().Add(h.cfg.Slow))
