--- a/client/client.go
+++ b/client/client.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -40,7 +41,11 @@
 	// HTTP sends the requests. Nil means a client without a timeout of its
 	// own; the context of each call bounds it.
 	HTTP *http.Client
-	// Scheme is "http" or "https". Empty means "http".
+	// TLS holds the authorities and the certificate for encrypted listeners.
+	// It is not used if HTTP is set.
+	TLS *tls.Config
+	// Scheme is "http" or "https". Empty means "https" with TLS settings and
+	// "http" without.
 	Scheme string
 	// Tries bounds the attempts of one call. Zero means 6.
 	Tries int
@@ -78,6 +83,7 @@
 	Header http.Header
 	Body   []byte
 	Host   string // entry host that answered
+	Key    string // idempotency key of an order
 	Tries  int
 }
 
@@ -107,10 +113,15 @@
 		return nil, codes.New(codes.UsageBad, "client: at least one entry host is needed")
 	}
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{}
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.TLSClientConfig = cfg.TLS
+		cfg.HTTP = &http.Client{Transport: transport}
 	}
 	if cfg.Scheme == "" {
 		cfg.Scheme = "http"
+		if cfg.TLS != nil {
+			cfg.Scheme = "https"
+		}
 	}
 	if cfg.Tries == 0 {
 		cfg.Tries = defaultTries
@@ -196,7 +207,7 @@
 		hosts := c.Hosts(ctx, r.Service)
 		resp, failed := c.once(ctx, hosts[(try-1)%len(hosts)], r)
 		if failed == nil {
-			resp.Tries = try
+			resp.Tries, resp.Key = try, r.Key
 			return resp, nil
 		}
 		failed.Tries = try
--- a/io/admin/convert.go
+++ b/io/admin/convert.go
@@ -9,20 +9,53 @@
 	"azurering/core/codes"
 )
 
+// Wire returns the wire form of a Status, Published, Withdrawn, list of
+// HostStatus or list of KeyState, for encoding/json. Other values are
+// returned as they are.
+func Wire(v any) any {
+	switch v := v.(type) {
+	case Status:
+		return fromStatus(v)
+	case Published:
+		return fromPublished(v)
+	case Withdrawn:
+		return fromWithdrawn(v)
+	case []HostStatus:
+		return fromHosts(v)
+	case []KeyState:
+		return fromKeys(v)
+	default:
+		return v
+	}
+}
+
+func fromHosts(list []HostStatus) []hostJSON {
+	out := make([]hostJSON, 0, len(list))
+	for _, h := range list {
+		out = append(out, hostJSON{
+			Name: string(h.Host.Name), Domain: string(h.Host.Domain), State: string(h.Host.State), Caller: h.Host.Caller,
+			Reached: h.Reached, Version: h.Version, Fresh: h.Fresh,
+		})
+	}
+	return out
+}
+
+func fromKeys(list []KeyState) []keyJSON {
+	out := make([]keyJSON, 0, len(list))
+	for _, k := range list {
+		out = append(out, keyJSON{Name: string(k.Name), Workspace: string(k.Workspace), Withdrawn: k.Withdrawn})
+	}
+	return out
+}
+
 func fromStatus(s Status) statusJSON {
-	out := statusJSON{Host: string(s.Host), Version: s.Version, Servers: s.Servers}
+	out := statusJSON{Host: string(s.Host), Version: s.Version, Servers: s.Servers, Hosts: fromHosts(s.Hosts)}
 	for _, d := range s.Domains {
 		out.Domains = append(out.Domains, domainJSON{
 			Region: string(d.Region), Domain: string(d.Domain), Holder: string(d.Holder), Epoch: d.Epoch,
 			Version: d.Version, Hosts: d.Hosts, Reached: d.Reached, Free: d.Free, Total: d.Total,
 		})
 	}
-	for _, h := range s.Hosts {
-		out.Hosts = append(out.Hosts, hostJSON{
-			Name: string(h.Host.Name), Domain: string(h.Host.Domain), State: string(h.Host.State), Caller: h.Host.Caller,
-			Reached: h.Reached, Version: h.Version, Fresh: h.Fresh,
-		})
-	}
 	for _, d := range s.Drains {
 		out.Drains = append(out.Drains, drainJSON{
 			Kind: string(d.Kind), Target: d.Target, Mode: string(d.Mode), Phase: d.Phase, Left: d.Left, Within: d.Within.String(),
