seats: let only hosts of the row watch the holder every second

A host that had read an absent row counted as a candidate for ever, because its own copy of the row had no version.

--- a/core/keys/keys_test.go
+++ b/core/keys/keys_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -394,6 +395,34 @@
 	}
 }
 
+func BenchmarkSetKeys(b *testing.B) {
+	n := newCluster(b, "a").hosts["a"]
+	var list []core.Key
+	for i := range 10000 {
+		list = append(list, key(core.KeyID(fmt.Sprintf("k%d", i))))
+	}
+	for b.Loop() {
+		n.SetKeys(list)
+	}
+}
+
+// BenchmarkSet measures the memory of 100,000 withdrawals.
+func BenchmarkSet(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		n := newCluster(b, "a").hosts["a"]
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range 100 {
+			_, _ = n.peer.Call(context.Background(), "a", core.WithdrawPush{Withdrawals: withdrawals(1000*i, 1000*i+1000)})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/100000, "B/withdrawal")
+		runtime.KeepAlive(n)
+	}
+}
+
 func ExampleKeys() {
 	ctx := context.Background()
 	c := newCluster(&testing.T{}, "a", "b", "c")
--- a/core/seats/evidence_test.go
+++ b/core/seats/evidence_test.go
@@ -132,6 +132,30 @@
 	require.True(t, codes.Is(err, codes.Internal))
 }
 
+// Guards the store against reads by hosts that are no candidates, and the
+// holder against their questions.
+func TestTraffic(t *testing.T) {
+	w := newWorld(2, 5, t.Fatalf)
+	w.advance(30 * time.Second)
+	for _, h := range w.hosts {
+		clear(h.reads)
+		clear(h.peer.sent)
+	}
+	w.advance(60 * time.Second)
+	seat, log := 0, 0
+	for _, h := range w.hosts {
+		seat += h.reads[core.SpaceSeat]
+		log += h.reads[core.SpaceWithdrawn]
+		require.LessOrEqual(t, h.peer.sent[core.KindSeatPromise], 2*2, "host %s", h.Name)
+		if h.Name == "a4" || h.Name == "a5" {
+			require.Zero(t, h.reads[core.SpaceSeat]+h.reads[core.SpaceWithdrawn], "reads of host %s", h.Name)
+			require.LessOrEqual(t, h.peer.sent[core.KindAttest], 17, "host %s", h.Name)
+		}
+	}
+	require.LessOrEqual(t, seat, 2*63)
+	require.LessOrEqual(t, log, 2*2*63)
+}
+
 // BenchmarkTraffic measures store reads and messages of a domain of 105
 // hosts among 54 domains, in virtual time, with the store up and down. Each
 // host has four neighbours.
@@ -151,6 +175,7 @@
 				for _, h := range w.hosts {
 					clear(h.reads)
 					clear(h.peer.sent)
+					clear(h.peer.to)
 				}
 				fresh := 0.0
 				for range seconds {
@@ -163,6 +188,16 @@
 				}
 				most, all := map[core.Kind]float64{}, map[core.Kind]float64{}
 				reads := map[core.Space]float64{}
+				got := map[core.HostID]float64{}
+				for _, h := range w.hosts {
+					for to, n := range h.peer.to {
+						got[to] += float64(n) / seconds
+					}
+				}
+				answered := 0.0
+				for _, n := range got {
+					answered = max(answered, n)
+				}
 				for _, h := range w.hosts {
 					if h.Domain != "a" {
 						continue
@@ -182,6 +217,7 @@
 					b.ReportMetric(all[k], string(k)+"/host/s")
 					b.ReportMetric(most[k], string(k)+"-most/s")
 				}
+				b.ReportMetric(answered, "attest-answered-most/s")
 				b.ReportMetric(fresh, "%fresh")
 			}
 		})
--- a/core/seats/take.go
+++ b/core/seats/take.go
@@ -128,7 +128,7 @@
 
 // mayTake reports whether the row lets this host take the seat.
 func (s *Seat) mayTake(r row) bool {
-	if r.version == 0 || r.names(s.cfg.Host.Name) || len(r.others(r.Holder)) == 0 {
+	if r.Epoch == 0 || r.names(s.cfg.Host.Name) || len(r.others(r.Holder)) == 0 {
 		return true
 	}
 	if s.cfg.Gone == nil {
--- a/core/seats/world_test.go
+++ b/core/seats/world_test.go
@@ -103,7 +103,7 @@
 	speeds := []float64{0.955, 1.045, 1}
 	h := &host{
 		Host: core.Host{Name: name, Domain: d, Incarnation: inc, State: core.HostLive}, w: w, clock: timer.NewManual(),
-		speed: speeds[(int(name[len(name)-1])+int(inc))%3], peer: simPeer{w.net.Peer(name), &sync.Mutex{}, map[core.Kind]int{}}, reads: map[core.Space]int{},
+		speed: speeds[(int(name[len(name)-1])+int(inc))%3], peer: simPeer{w.net.Peer(name), &sync.Mutex{}, map[core.Kind]int{}, map[core.HostID]int{}}, reads: map[core.Space]int{},
 		known: map[core.KeyID]bool{}, watch: map[core.KeyID]*keys.Watch{},
 	}
 	w.hosts[name] = h
@@ -368,11 +368,15 @@
 	*fakes.Peer
 	mu   *sync.Mutex
 	sent map[core.Kind]int
+	to   map[core.HostID]int // attest messages per receiver
 }
 
 func (p simPeer) Call(ctx context.Context, to core.HostID, m core.Message) (core.Message, error) {
 	p.mu.Lock()
 	p.sent[m.Kind()]++
+	if m.Kind() == core.KindAttest {
+		p.to[to]++
+	}
 	p.mu.Unlock()
 	return p.Peer.Call(ctx, to, m)
 }
