bench: compare steering policies in virtual time

Cause: the policy of core/steer needs figures against the baselines.

Change: Policies runs both deployments (6 domains, 12 hosts) through five scenarios on a queueing model: one queue per domain and service, callers with cached answers, measurements that are 15 s old and come every 5 s, 6 s until hosts know of a death, cold caches. Arrivals and work are the same for each policy. PolicyTable prints Markdown; the test asserts no violation and a p99 no worse than the better baseline. steer: domains equally near stand by in an order of the block's own.

Before the standby order, callers who lost their region all fell to one domain.

--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench regenerates the measurements of docs/MEASURES.md.
+package bench
--- /dev/null
+++ b/bench/policy_test.go
@@ -0,0 +1,26 @@
+package bench_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"azurering/bench"
+)
+
+// Guards against a policy that breaks a property or is slower than the
+// better baseline, in any scenario of either deployment.
+func TestPolicies(t *testing.T) {
+	cfg := bench.PolicyConfig{Seed: 1, Seconds: 300}
+	if os.Getenv("AZURERING_BENCH") != "" {
+		cfg.Seconds = 900
+	}
+	results := bench.Policies(cfg)
+	t.Log("\n" + bench.PolicyTable(results))
+	for i := 0; i < len(results); i += 3 {
+		own, nearest, least := results[i], results[i+1], results[i+2]
+		require.Zero(t, own.Violations, "%s, %s", own.Deployment, own.Scenario)
+		require.LessOrEqual(t, own.P99, min(nearest.P99, least.P99), "%s, %s", own.Deployment, own.Scenario)
+	}
+}
--- a/core/steer/apply.go
+++ b/core/steer/apply.go
@@ -69,6 +69,7 @@
 		}
 	}
 	s.order = make([][]int32, len(s.dict.names)+1)
+	s.class = make([][]time.Duration, len(s.order))
 	for home := range s.order {
 		name := core.DomainID("")
 		if home < len(s.dict.names) {
@@ -84,6 +85,10 @@
 			return cmp.Compare(mix(seed, xxhash.Sum64String(string(x))), mix(seed, xxhash.Sum64String(string(y))))
 		})
 		s.order[home] = order
+		s.class[home] = make([]time.Duration, len(order))
+		for i, d := range order {
+			s.class[home][i] = s.delay(region, name, s.dict.names[d])
+		}
 	}
 }
 
--- a/core/steer/plan.go
+++ b/core/steer/plan.go
@@ -347,13 +347,22 @@
 	return pick{domain: int32(d), seed: xxhash.Sum64String(string(s.dict.names[d])), weight: weight}
 }
 
-// rest lists the domains that stand by for a home, nearest first.
-func (s *Steer) rest(sv *service, home int, except func(d int32) bool) []int32 {
-	order := s.order[min(home, len(s.order)-1)]
-	var out []int32
-	for _, d := range order {
-		if sv.capacity[d] > 0 && !except(d) {
-			out = append(out, d)
+// rest lists the domains that stand by for a home, nearest first, in groups
+// of equal distance.
+func (s *Steer) rest(sv *service, home int, except func(d int32) bool) []standby {
+	home = min(home, len(s.order)-1)
+	var out []standby
+	first, class := 0, time.Duration(-1)
+	for i, d := range s.order[home] {
+		if sv.capacity[d] <= 0 || except(d) {
+			continue
+		}
+		if s.class[home][i] != class {
+			first, class = len(out), s.class[home][i]
+		}
+		out = append(out, standby{domain: d, first: int32(first)})
+		for j := first; j < len(out); j++ {
+			out[j].size = int32(len(out) - first)
 		}
 	}
 	return out
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -107,7 +107,8 @@
 	hosts    []core.Host
 	blocks   *blocks
 	near     map[core.RegionID]map[core.RegionID]time.Duration
-	order    [][]int32 // per home domain: all domains, nearest first
+	order    [][]int32         // per home domain: all domains, nearest first
+	class    [][]time.Duration // per home domain: the delays in that order
 	services map[core.ServiceID]*service
 	shifts   []shift
 	warming  map[warmKey]time.Duration // servers taking work again since
@@ -169,7 +170,16 @@
 // others stand by, nearest first.
 type row struct {
 	picks []pick
-	rest  []int32
+	rest  []standby
+}
+
+// standby is a domain that stands by. Those equally near are a group: each
+// block begins at its own member, so that callers who lose their domain
+// spread over the group.
+type standby struct {
+	domain int32
+	first  int32 // index of the first member of its group
+	size   int32
 }
 
 type pick struct {
@@ -252,10 +262,14 @@
 	if second >= 0 && len(a.Hosts) < snap.ranked {
 		snap.hostsOf(second, hash, 1, a)
 	}
-	for _, d := range r.rest {
+	for i := range r.rest {
 		if len(a.Hosts) >= snap.ranked {
 			break
 		}
+		g := &r.rest[i]
+		// The bits used here are above those that choose the host.
+		at := (int64(i) - int64(g.first) + int64(hash>>20)) % int64(g.size)
+		d := r.rest[int64(g.first)+at].domain
 		if len(snap.domains[d].hosts) == 0 || d == second {
 			continue
 		}
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -71,8 +71,10 @@
 	sheet, hosts := small(2, 6, 50)
 	sheet.Blocks = append(sheet.Blocks, core.Block{Prefix: netip.MustParsePrefix("10.0.3.128/25"), Domain: "domain-5"})
 	s := steer.New(steer.Config{Sheet: sheet, Hosts: hosts, Self: hosts[0]})
+	last := make(map[core.DomainID]bool)
 	for b := range 50 {
 		a := look(t, s, client(0, b))
+		last[a.Hosts[3].Domain] = true
 		require.Equal(t, core.DomainID("domain-0"), a.Domain)
 		require.Len(t, a.Hosts, 4)
 		seen := make(map[core.HostID]bool)
@@ -84,6 +86,7 @@
 		require.LessOrEqual(t, a.Life, 30*time.Second)
 		require.GreaterOrEqual(t, a.Life, 24*time.Second)
 	}
+	require.Len(t, last, 4, "callers who lose their region spread over the others")
 	require.Equal(t, core.DomainID("domain-5"), look(t, s, netip.MustParseAddr("10.0.3.200")).Domain, "the longest prefix counts")
 	require.Equal(t, core.DomainID("domain-0"), look(t, s, netip.MustParseAddr("::ffff:10.0.3.1")).Domain)
 	look(t, s, netip.MustParseAddr("2001:db8::1%eth0"))
