member: choose neighbours again when a listed host is verified

Cause: a host that starts from the platform's list knows its entries as unverified, and unverified hosts are no neighbours. The choice was made again for a new or dead host only, so hosts kept what they chose while a few others were verified.

Change: a peer that becomes verified marks the choice as stale. A new test compares heartbeats with the neighbours after a start from the list; it fails without the change.

Conclusion: after a common start hosts were watched by fewer hosts than the three of the design, and domains did not watch their own hosts.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -32,6 +32,21 @@
 	}
 }
 
+// Guards against hosts that keep the neighbours they chose while most of the
+// platform's list was still unverified, so that some watch one host only and
+// a domain does not watch its own hosts.
+func TestNeighboursAfterStart(t *testing.T) {
+	f := newFleet(t, 6, 4, 1)
+	f.run(20)
+	for _, n := range f.nodes {
+		f.timer.Advance(time.Second)
+		beats := n.group.Tick(f.timer.Now()).Beats
+		for _, want := range n.group.Neighbours(n.group.Self()) {
+			require.Contains(t, beats, want, "%s sends no heartbeat to its neighbour", n.name)
+		}
+	}
+}
+
 // Guards against a dead host that stays live in some view.
 func TestDeadWithinBound(t *testing.T) {
 	for seed := range uint64(10) {
--- a/core/member/peer.go
+++ b/core/member/peer.go
@@ -158,7 +158,11 @@
 		p.declared = core.HostLive
 	}
 	p.dead = false
-	p.verified = true
+	if !p.verified {
+		// An unverified host is no neighbour, so the choice may change.
+		p.verified = true
+		g.stale = true
+	}
 	g.settle(now, p)
 	return news
 }
