flow, entry: keep the slot of an abandoned exchange taken for 200 ms

Cause: with entry hosts as processes and servers that stall, 4 requests reached a server without a free slot. A caller's attempt ended, the host cancelled the exchange and gave the slot to the next request before the server had noticed the closed connection. Ruled out: loans (the sums held). Change: an exchange that was given up while the server may still work holds its slot for 200 ms more; the demo's servers now end cancelled requests.

--- a/app/demo/backend.go
+++ b/app/demo/backend.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,24 +22,28 @@
 	headerRequest = "X-Demo-Request" // unique id of the request
 )
 
+// stallOne makes one answer in this many a stall.
+const stallOne = 25
+
 // backend is one backend server. It sheds what exceeds its slots.
 type backend struct {
 	core.Server
 	audit  *audit
 	answer time.Duration
 	size   int // bytes of a download
+	stall  bool
 	server *http.Server
 	busy   atomic.Int64
 }
 
 // startBackend starts a server on loopback.
-func startBackend(s core.Server, a *audit, answer time.Duration, size int) (*backend, error) {
+func startBackend(s core.Server, a *audit, p plan) (*backend, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s.Address = lis.Addr().String()
-	b := &backend{Server: s, audit: a, answer: answer, size: size}
+	b := &backend{Server: s, audit: a, answer: p.answer, size: p.download, stall: p.stall}
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = b.server.Serve(lis) }()
 	return b, nil
@@ -62,7 +67,7 @@
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		b.audit.executed(r.Header.Get("Azurering-Workspace") + "/" + key)
 	}
-	time.Sleep(b.answer/2 + rand.N(b.answer))
+	b.work(r.Context())
 	text := "answer to " + r.Header.Get(headerRequest) + " " + string(body)
 	if strings.HasPrefix(r.URL.Path, "/files") {
 		text += strings.Repeat("x", b.size)
@@ -71,6 +76,20 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// work takes the time of one answer: with stalls, one in stallOne takes
+// longer than the patience of callers, who then try again elsewhere.
+// It ends at once when the request is cancelled.
+func (b *backend) work(ctx context.Context) {
+	length := b.answer/2 + rand.N(b.answer)
+	if b.stall && rand.IntN(stallOne) == 0 {
+		length = patience * 3 / 2
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
 // audit records what backend servers see, to check what must always hold.
 type audit struct {
 	start time.Time
--- a/app/demo/demo.go
+++ b/app/demo/demo.go
@@ -25,6 +25,7 @@
 	StoreSlow    bool // each request to the platform takes 300 ms longer
 	StoreLossy   bool // the platform drops the answers of writes that took effect
 	CutRegion    bool // the region of the store is cut off and the platform is down
+	StallServers bool // some answers of backend servers take longer than callers wait
 	CutDomain    bool // one failure domain is cut off from all others and the platform
 	KillEntry    bool // one entry host ends without a shutdown
 	StopEntry    bool // one entry host is stopped gracefully
@@ -62,6 +63,7 @@
 	if err != nil {
 		return err
 	}
+	p.stall = cfg.Faults.StallServers
 	w, err := newWorld(p, tenants(cfg.Deployment), cfg.Logs)
 	if err != nil {
 		return err
--- a/app/demo/demo_test.go
+++ b/app/demo/demo_test.go
@@ -27,6 +27,8 @@
 		"host stops, key withdrawn":     {StopEntry: true, WithdrawKey: true},
 		"store down, host dies":         {StoreDown: true, KillEntry: true},
 		"domain cut off, key withdrawn": {CutDomain: true, WithdrawKey: true},
+		"servers stall":                 {StallServers: true},
+		"servers stall, store down":     {StallServers: true, StoreDown: true},
 		"store slow, drain and shift":   {StoreSlow: true, DrainServer: true, ShiftTraffic: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/app/demo/deploy.go
+++ b/app/demo/deploy.go
@@ -33,6 +33,7 @@
 	vault    servicePlan // downloads
 	answer   time.Duration
 	download int // bytes
+	stall    bool
 }
 
 type servicePlan struct {
--- a/app/demo/load.go
+++ b/app/demo/load.go
@@ -22,7 +22,10 @@
 	// demandShare is the part of its rate that a workspace sends.
 	demandShare = 0.7
 	callTimeout = 8 * time.Second
-	maxMicros   = 60_000_000
+	// patience is how long a caller waits for one attempt before it tries
+	// again, with the same idempotency key, at another host.
+	patience  = 2 * time.Second
+	maxMicros = 60_000_000
 )
 
 // tally counts the outcomes of one workspace and class.
@@ -80,7 +83,7 @@
 // block of the n-th failure domain.
 func callerHTTP(n byte) *http.Client {
 	dialer := &net.Dialer{Timeout: 2 * time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 1, n, 1)}}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32}}
+	return &http.Client{Timeout: patience, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32}}
 }
 
 // run sends requests until the context ends, then waits for those in flight.
--- a/app/demo/world.go
+++ b/app/demo/world.go
@@ -121,7 +121,7 @@
 		for n := range v.perDomain {
 			b, err := startBackend(core.Server{
 				Name: core.ServerID(fmt.Sprintf("%s-%s-%d", v.name, d, n+1)), Service: v.name, Domain: d, Slots: v.slots, Conns: v.conns,
-			}, w.audit, w.plan.answer, w.plan.download)
+			}, w.audit, w.plan)
 			if err != nil {
 				return err
 			}
@@ -251,7 +251,9 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			h.app.Kill()
+			if h.app != nil {
+				h.app.Kill()
+			}
 		}()
 	}
 	all.Wait()
--- a/app/entry/pools.go
+++ b/app/entry/pools.go
@@ -25,6 +25,9 @@
 	probeTimeout = 2 * time.Second
 	// sharedLife is how long a probe result is passed on in heartbeats.
 	sharedLife = 2 * probePeriod
+	// noticeTime is how long a slot stays taken after an exchange was given
+	// up: some round trips inside a region.
+	noticeTime = 200 * time.Millisecond
 	// keptFree is the part of the slots, one in keptFree, that is not offered
 	// to other domains, so that a burst at home finds room.
 	keptFree = 5
@@ -413,5 +416,11 @@
 		// Nothing was sent.
 		outcome = pool.OutcomeCancelled
 	}
+	if o.Open {
+		// The server notices a closed connection a little later than this
+		// host gives the exchange up; until then its slot is taken.
+		time.AfterFunc(noticeTime, func() { s.lease.Done(s.timer.Now(), outcome) })
+		return
+	}
 	s.lease.Done(s.timer.Now(), outcome)
 }
--- a/core/flow.go
+++ b/core/flow.go
@@ -38,6 +38,9 @@
 type Outcome struct {
 	Failed  bool
 	Refused bool // the server shed the request
+	// Open says that the exchange was given up while the server may still
+	// be working on the request.
+	Open bool
 	Latency time.Duration
 }
 
--- a/core/flow/send.go
+++ b/core/flow/send.go
@@ -57,11 +57,15 @@
 	start := f.cfg.Timer.Now()
 	resp, err := f.cfg.Server.Send(ctx, server, r)
 	if err != nil {
-		slot.Done(core.Outcome{Failed: ctx.Err() == nil, Refused: stateOf(err) == core.SendRefused, Latency: f.cfg.Timer.Now() - start})
+		state := stateOf(err)
+		slot.Done(core.Outcome{
+			Failed: ctx.Err() == nil, Refused: state == core.SendRefused, Open: state == core.SendMaybe,
+			Latency: f.cfg.Timer.Now() - start,
+		})
 		return core.Response{}, server.Name, err
 	}
-	resp.Body = &slotBody{ReadCloser: resp.Body, done: func(failed bool) {
-		slot.Done(core.Outcome{Failed: failed, Latency: f.cfg.Timer.Now() - start})
+	resp.Body = &slotBody{ReadCloser: resp.Body, done: func(failed, whole bool) {
+		slot.Done(core.Outcome{Failed: failed, Open: !whole, Latency: f.cfg.Timer.Now() - start})
 	}}
 	return resp, server.Name, nil
 }
@@ -125,13 +129,17 @@
 	io.ReadCloser
 	once   sync.Once
 	failed atomic.Bool // Close may run while Read does
-	done   func(failed bool)
+	whole  atomic.Bool
+	done   func(failed, whole bool)
 }
 
 // Read implements io.Reader.
 func (b *slotBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF {
+	switch {
+	case err == io.EOF:
+		b.whole.Store(true)
+	case err != nil:
 		b.failed.Store(true)
 	}
 	return n, err
@@ -140,6 +148,6 @@
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.done(b.failed.Load()) })
+	b.once.Do(func() { b.done(b.failed.Load(), b.whole.Load()) })
 	return err
 }
--- a/io/relay/desk.go
+++ b/io/relay/desk.go
@@ -157,8 +157,12 @@
 	}
 	resp, err := d.cfg.Servers.Send(r.Context(), slot.Server(), request)
 	if err != nil {
-		slot.Done(core.Outcome{Failed: r.Context().Err() == nil, Refused: sendState(err) == core.SendRefused, Latency: d.cfg.Timer.Now() - start})
-		if sendState(err) == core.SendMaybe {
+		state := sendState(err)
+		slot.Done(core.Outcome{
+			Failed: r.Context().Err() == nil, Refused: state == core.SendRefused, Open: state == core.SendMaybe,
+			Latency: d.cfg.Timer.Now() - start,
+		})
+		if state == core.SendMaybe {
 			// Only a cut connection leaves the outcome open at the sender.
 			panic(http.ErrAbortHandler)
 		}
@@ -167,7 +171,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	failed := !copyAnswer(w, resp)
-	slot.Done(core.Outcome{Failed: failed, Latency: d.cfg.Timer.Now() - start})
+	slot.Done(core.Outcome{Failed: failed, Open: failed, Latency: d.cfg.Timer.Now() - start})
 	if failed {
 		d.cfg.Log.WithFields(logrus.Fields{"event": "relay-cut", "service": service, "server": slot.Server().Name, "code": int(codes.ServerCut)}).Warn("forwarded answer was cut")
 		panic(http.ErrAbortHandler)
