seats: bound each tick as a whole

A tick with 53 remote domains that do not answer could last longer than the freshness bound and cost the holder its own right to act. Questions to other domains now share one call timeout, peer calls get half of it, and a store that has just failed is not asked twice in a tick. A test with a table and peers that never answer guards the deadlines.

--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -37,10 +37,10 @@
 	Domains func() []core.DomainID
 	// Neighbours returns the hosts to which news is forwarded.
 	Neighbours func() []core.HostID
-	// CallTimeout bounds each call to the table or a peer. Zero means a
-	// quarter of the freshness bound.
+	// CallTimeout bounds each call to the table; calls to peers get half of
+	// it. Zero means a quarter of the freshness bound.
 	CallTimeout time.Duration
-	// Parallel is the number of peer calls under way at once. Zero means 16;
+	// Parallel is the number of peer calls under way at once. Zero means 64;
 	// with 1 all calls run in the goroutine that makes them.
 	Parallel int
 }
@@ -86,7 +86,7 @@
 		cfg.CallTimeout = cfg.Evidence.Bound() / 4
 	}
 	if cfg.Parallel == 0 {
-		cfg.Parallel = 16
+		cfg.Parallel = 64
 	}
 	k := &Keys{
 		cfg:     cfg,
@@ -134,7 +134,7 @@
 }
 
 func (k *Keys) call(ctx context.Context, to core.HostID, m core.Message) (core.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.cfg.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.cfg.CallTimeout/2)
 	defer cancel()
 	return k.cfg.Peers.Call(ctx, to, m)
 }
--- a/core/seats/ask.go
+++ b/core/seats/ask.go
@@ -47,7 +47,7 @@
 }
 
 func (s *Seat) call(ctx context.Context, to core.HostID, m core.Message) (core.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout/2)
 	defer cancel()
 	return s.cfg.Peers.Call(ctx, to, m)
 }
@@ -164,7 +164,7 @@
 	if s.cfg.CatchUp == nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout/2)
 	defer cancel()
 	if err := s.cfg.CatchUp(ctx, from, a.Version, a.Withdrawn); err != nil {
 		return false
@@ -309,7 +309,12 @@
 }
 
 // askFar asks remote domains in growing batches until the evidence is young.
+// All batches together get one CallTimeout, and the first ones a part of it,
+// so that hosts that do not answer use up neither the others' time nor the
+// seat's.
 func (s *Seat) askFar(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
 	var domains []core.DomainID
 	all := s.cfg.Domains()
 	for _, d := range all {
@@ -327,15 +332,17 @@
 	var mu sync.Mutex
 	var last error
 	from := 0
-	for _, to := range []int{2, Majority(len(all)), len(domains)} {
+	for i, to := range []int{2, Majority(len(all)), len(domains)} {
 		to = min(to, len(domains))
+		part, done := context.WithTimeout(ctx, s.cfg.CallTimeout*time.Duration(i+2)/8)
 		s.each(to-from, func(i int) {
-			if _, err := s.seek(ctx, domains[from+i]); err != nil {
+			if _, err := s.seek(part, domains[from+i]); err != nil {
 				mu.Lock()
 				last = err
 				mu.Unlock()
 			}
 		})
+		done()
 		if from = to; s.young(limit) {
 			return nil
 		}
--- a/core/seats/evidence_test.go
+++ b/core/seats/evidence_test.go
@@ -136,7 +136,13 @@
 // holder against their questions.
 func TestTraffic(t *testing.T) {
 	w := newWorld(2, 5, t.Fatalf)
-	w.advance(30 * time.Second)
+	// The first reads of a4 and a5 find no row, and peers tell them of it.
+	for _, step := range []do{
+		noDB(true, "a1", "a2", "a3"), run(time.Second), noDB(false, "a1", "a2", "a3"), noDB(true, "a4", "a5"),
+		split("a4", "a5"), run(5 * time.Second), links(), run(5 * time.Second), noDB(false, "a4", "a5"), run(30 * time.Second),
+	} {
+		step(t, w)
+	}
 	for _, h := range w.hosts {
 		clear(h.reads)
 		clear(h.peer.sent)
--- a/core/seats/follow.go
+++ b/core/seats/follow.go
@@ -8,10 +8,10 @@
 	"azurering/core"
 )
 
-// hold does the work of the seat holder.
-func (s *Seat) hold(ctx context.Context) error {
-	var err error
-	if due := s.every("read", s.period()); due || s.alarmed() {
+// hold does the work of the seat holder. A store that has just failed, with
+// the error err, is not asked again in the same tick, but the promises are.
+func (s *Seat) hold(ctx context.Context, err error) error {
+	if due := s.every("read", s.period()); err == nil && (due || s.alarmed()) {
 		_, err = s.getRow(ctx)
 	}
 	if !s.isHolding() {
--- a/core/seats/machine_test.go
+++ b/core/seats/machine_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"azurering/core"
+	"azurering/core/codes"
 )
 
 // TestMain fixes the seed of the property tests unless the command line sets
@@ -174,3 +175,28 @@
 	require.NotEmpty(t, rows)
 	require.LessOrEqual(t, len(rows), checkedKeys-1, "no withdrawal is logged twice")
 }
+
+// Guards against a call without a deadline: if the table and all peers hang,
+// the rounds of every role still end.
+func TestHangingCalls(t *testing.T) {
+	w := newWorld(3, 4, t.Fatalf)
+	w.timeout = time.Millisecond
+	for _, n := range w.names {
+		w.start(n, w.hosts[n].Domain)
+	}
+	w.advance(15 * time.Second)
+	ctx := context.Background()
+	for _, n := range w.names {
+		h := w.hosts[n]
+		h.hang = true
+		for range 20 {
+			h.clock.Advance(time.Second)
+			_ = h.seat.Tick(ctx)
+			_ = h.keys.Tick(ctx)
+		}
+		_, err := h.keys.Withdraw(ctx, core.Withdrawal{Key: keyName(0)})
+		require.True(t, codes.Is(err, codes.WithdrawPending), "%v", err)
+		_, ok := h.seat.Acting()
+		require.False(t, ok)
+	}
+}
--- a/core/seats/seats.go
+++ b/core/seats/seats.go
@@ -45,10 +45,12 @@
 	// hosts that a row names are gone, any host of the domain may take the
 	// seat. Nil means never. A wrong answer allows two acting holders.
 	Gone func(core.HostID) bool
-	// CallTimeout bounds each call to the table or a peer. Zero means a
-	// quarter of the bound.
+	// CallTimeout bounds each call to the table; calls to peers get half of
+	// it. Zero means a quarter of the bound. A tick of a holder whose calls
+	// all hang takes at most two and a half times as long, so that it still
+	// renews its promises within the bound.
 	CallTimeout time.Duration
-	// Parallel is the number of peer calls under way at once. Zero means 16;
+	// Parallel is the number of peer calls under way at once. Zero means 64;
 	// with 1 all calls run in the goroutine that calls Tick.
 	Parallel int
 }
@@ -125,7 +127,7 @@
 		s.cfg.CallTimeout = s.bound / 4
 	}
 	if s.cfg.Parallel == 0 {
-		s.cfg.Parallel = 16
+		s.cfg.Parallel = 64
 	}
 	cfg.Peers.Handle(core.KindAttest, s.onAttest)
 	cfg.Peers.Handle(core.KindSeatPromise, s.onPromise)
@@ -298,18 +300,15 @@
 func (s *Seat) work(ctx context.Context) error {
 	var err error
 	if s.unresolved() {
-		// A holder goes on asking for promises while the store cannot tell
-		// the outcome.
 		err = s.resolve(ctx)
 	}
-	step := s.follow
 	if s.isHolding() {
-		step = s.hold
+		return s.hold(ctx, err)
 	}
-	if stepErr := step(ctx); stepErr != nil {
-		return stepErr
+	if err != nil {
+		return err
 	}
-	return err
+	return s.follow(ctx)
 }
 
 func (s *Seat) isHolding() bool {
--- a/core/seats/world_test.go
+++ b/core/seats/world_test.go
@@ -40,6 +40,7 @@
 	accepted map[core.KeyID]time.Duration
 	gone     map[core.HostID]bool
 	depth    int
+	timeout  time.Duration
 	parallel int    // peer calls under way at once; 1 keeps a run repeatable
 	lax      bool   // skips the checks, for measurements of many hosts
 	onStall  func() // called when a stall begins
@@ -64,6 +65,7 @@
 	commit string        // fault of the next commit
 	stall  time.Duration // length of the next call to the table
 	slow   core.Space    // if set, only calls to this space stall
+	hang   bool          // calls to the table and to peers end only with their context
 	frozen bool          // the stalled host answers no messages
 	reads  map[core.Space]int
 	known  map[core.KeyID]bool
@@ -103,9 +105,10 @@
 	speeds := []float64{0.955, 1.045, 1}
 	h := &host{
 		Host: core.Host{Name: name, Domain: d, Incarnation: inc, State: core.HostLive}, w: w, clock: timer.NewManual(),
-		speed: speeds[(int(name[len(name)-1])+int(inc))%3], peer: simPeer{w.net.Peer(name), &sync.Mutex{}, map[core.Kind]int{}, map[core.HostID]int{}}, reads: map[core.Space]int{},
+		speed: speeds[(int(name[len(name)-1])+int(inc))%3], reads: map[core.Space]int{},
 		known: map[core.KeyID]bool{}, watch: map[core.KeyID]*keys.Watch{},
 	}
+	h.peer = simPeer{w.net.Peer(name), h, &sync.Mutex{}, map[core.Kind]int{}, map[core.HostID]int{}}
 	w.hosts[name] = h
 	w.net.Down(name, false)
 	domains := func() []core.DomainID { return w.domains }
@@ -116,7 +119,7 @@
 	})
 	var err error
 	h.seat, err = seats.New(seats.Config{
-		Host: h.Host, Table: simTable{h}, Peers: h.peer, Timer: h.clock, Evidence: h.ev, Domains: domains, Parallel: w.parallel,
+		Host: h.Host, Table: simTable{h}, Peers: h.peer, Timer: h.clock, Evidence: h.ev, Domains: domains, Parallel: w.parallel, CallTimeout: w.timeout,
 		Hosts:  func() []core.Host { return w.live(h, d) },
 		Remote: func(d core.DomainID) []core.Host { return w.live(h, d) },
 		Gone:   func(h core.HostID) bool { return w.gone[h] },
@@ -126,7 +129,7 @@
 	})
 	w.must(err)
 	h.keys, err = keys.New(keys.Config{
-		Host: h.Host, Table: simTable{h}, Peers: h.peer, Timer: h.clock, Seat: h.seat, Evidence: h.ev, Domains: domains, Parallel: w.parallel,
+		Host: h.Host, Table: simTable{h}, Peers: h.peer, Timer: h.clock, Seat: h.seat, Evidence: h.ev, Domains: domains, Parallel: w.parallel, CallTimeout: w.timeout,
 		Neighbours: func() []core.HostID { return w.neighbours(h) },
 	})
 	w.must(err)
@@ -366,6 +369,7 @@
 // simPeer counts the messages that a host sends.
 type simPeer struct {
 	*fakes.Peer
+	h    *host
 	mu   *sync.Mutex
 	sent map[core.Kind]int
 	to   map[core.HostID]int // attest messages per receiver
@@ -378,6 +382,10 @@
 		p.to[to]++
 	}
 	p.mu.Unlock()
+	if p.h.hang {
+		<-ctx.Done()
+		return nil, codes.New(codes.PeerDown, "sim: no answer")
+	}
 	return p.Peer.Call(ctx, to, m)
 }
 
@@ -417,8 +425,11 @@
 	s.h.reads[space]++
 }
 
-func (s simTable) reach() error {
-	if s.h.w.down || s.h.noDB {
+func (s simTable) reach(ctx context.Context) error {
+	if s.h.hang {
+		<-ctx.Done()
+	}
+	if s.h.w.down || s.h.noDB || s.h.hang {
 		return codes.New(codes.StoreDown, "sim: table is down")
 	}
 	return nil
@@ -426,7 +437,7 @@
 
 func (s simTable) Get(ctx context.Context, space core.Space, key string) (core.Row, error) {
 	s.count(space)
-	if err := s.reach(); err != nil {
+	if err := s.reach(ctx); err != nil {
 		return core.Row{}, err
 	}
 	row, err := s.h.w.table.Get(ctx, space, key)
@@ -436,7 +447,7 @@
 
 func (s simTable) List(ctx context.Context, space core.Space, after string, limit int) ([]core.Row, error) {
 	s.count(space)
-	if err := s.reach(); err != nil || (s.h.noLog && space == core.SpaceWithdrawn) {
+	if err := s.reach(ctx); err != nil || (s.h.noLog && space == core.SpaceWithdrawn) {
 		return nil, codes.New(codes.StoreDown, "sim: list cannot be read")
 	}
 	rows, err := s.h.w.table.List(ctx, space, after, limit)
@@ -445,7 +456,7 @@
 }
 
 func (s simTable) Commit(ctx context.Context, writes []core.Write) error {
-	if err := s.reach(); err != nil {
+	if err := s.reach(ctx); err != nil {
 		return err
 	}
 	w, fault := s.h.w, s.h.commit
