client: harden look-ups, retries and outcomes

Cause: the package had no tests. Change: the answer to a look-up is bounded, checked, shared by concurrent calls and kept for its lifetime; attempts go to the hosts tried least; pauses come from cenkalti/backoff and never undercut the host's wish; running orders are asked for until the deadline; not-run is said only if every attempt is known not to have run.

--- a/app/verbs/verbs_test.go
+++ b/app/verbs/verbs_test.go
@@ -109,18 +109,14 @@
 type lab struct {
 	control *control
 	addr    string
+	lagging string // admin listener of a host that applies no change
 	dir     string
 }
 
 func newLab(t *testing.T) *lab {
 	t.Helper()
 	l := &lab{control: newControl(), dir: t.TempDir()}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(nil) })
-	s := httptest.NewServer(admin.New(admin.Config{Control: l.control, Secret: credential, Metrics: metrics, Log: log}))
-	t.Cleanup(s.Close)
-	l.addr = strings.TrimPrefix(s.URL, "http://")
+	l.addr, l.lagging = serve(t, l.control), serve(t, newControl())
 	good, err := sheets.Write(core.Sheet{Name: "association", Regions: []core.Region{{Name: "doto", Domains: []core.DomainID{"kushiro"}}}})
 	require.NoError(t, err)
 	l.file(t, "good.toml", string(good))
@@ -130,6 +126,16 @@
 	return l
 }
 
+// serve returns the address of an admin listener.
+func serve(t *testing.T, c *control) string {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	metrics := http.FileServer(http.Dir("testdata"))
+	s := httptest.NewServer(admin.New(admin.Config{Control: c, Secret: credential, Metrics: metrics, Log: log}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
 func (l *lab) file(t *testing.T, name, content string) {
 	t.Helper()
 	require.NoError(t, os.WriteFile(filepath.Join(l.dir, name), []byte(content), 0o600))
@@ -138,7 +144,7 @@
 // run runs a command line in which HOST and DIR/ stand for the lab's.
 func (l *lab) run(ctx context.Context, line string) (code int, out, errs string) {
 	var o, e bytes.Buffer
-	args := append([]string{"azurering"}, strings.Fields(strings.NewReplacer("HOST", l.addr, "DIR/", l.dir+"/").Replace(line))...)
+	args := append([]string{"azurering"}, strings.Fields(strings.NewReplacer("HOST", l.addr, "LAGGING", l.lagging, "DIR/", l.dir+"/").Replace(line))...)
 	code = verbs.Run(ctx, args, verbs.Config{Out: &o, Err: &e, Poll: time.Millisecond})
 	return code, o.String(), e.String()
 }
@@ -255,6 +261,7 @@
 		"no wait":       {"drain desk-1 --host HOST --no-wait", func(c *control) { c.left = []int64{3, 3} }, 0, 1, "is under way"},
 		"two hosts":     {"drain desk-1 --host HOST --host HOST", func(c *control) { c.left = []int64{0, 5, 0, 0} }, 0, 1, "5 requests left on 2 hosts"},
 		"silent host":   {"drain desk-1 --host HOST --host 127.0.0.1:1 --wait-limit 50ms", func(*control) {}, 1, 1, "was not done yet"},
+		"lagging host":  {"drain desk-1 --host HOST --host LAGGING --wait-limit 50ms", func(*control) {}, 1, 1, "was not done yet"},
 		"gives up":      {"drain desk-1 --host HOST --wait-limit 50ms", func(c *control) { c.left = many(1 << 16) }, 1, 1, "run the command again"},
 		"refused":       {"drain desk-1 --host HOST", func(c *control) { c.refusal = conflict }, 1, 0, "error 8002"},
 		"answer lost":   {"drain desk-1 --host HOST", func(c *control) { c.refusal, c.lost = conflict, true }, 0, 1, "by another attempt"},
--- a/client/client.go
+++ b/client/client.go
@@ -5,18 +5,16 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
-	"encoding/json"
-	"io"
-	"math/rand/v2"
+	"net"
 	"net/http"
-	"net/url"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
@@ -25,10 +23,13 @@
 
 const (
 	defaultTries = 6
-	firstPause   = 50 * time.Millisecond
-	maxPause     = 2 * time.Second
-	// shortLife is how long a look-up is kept whose answer has no lifetime.
-	shortLife = time.Second
+	defaultBody  = 64 << 20
+	// defaultWait is a little over the default timeout of a route, so that
+	// the host's own refusal comes first.
+	defaultWait = 35 * time.Second
+	dialTimeout = 3 * time.Second
+	firstPause  = 100 * time.Millisecond
+	maxPause    = 2 * time.Second
 )
 
 // Config configures a Client. Entries is required.
@@ -38,8 +39,9 @@
 	Entries []string
 	// Key is the workspace's key; empty for open routes only.
 	Key string
-	// HTTP sends the requests. Nil means a client without a timeout of its
-	// own; the context of each call bounds it.
+	// HTTP sends the requests. Nil means a client that gives up a connection
+	// attempt after 3 s. It must not repeat requests by itself; redirects are
+	// not followed, because they are answers of the service.
 	HTTP *http.Client
 	// TLS holds the authorities and the certificate for encrypted listeners.
 	// It is not used if HTTP is set.
@@ -47,8 +49,14 @@
 	// Scheme is "http" or "https". Empty means "https" with TLS settings and
 	// "http" without.
 	Scheme string
-	// Tries bounds the attempts of one call. Zero means 6.
+	// Tries bounds the attempts of one call. Zero means 6. Attempts that end
+	// in "running" do not count if the context has a deadline.
 	Tries int
+	// MaxBody bounds the body of an answer in bytes. Zero means 64 MiB.
+	MaxBody int64
+	// Wait bounds the wait for the headers of an answer. Zero means 35 s. It
+	// is not used if HTTP is set.
+	Wait time.Duration
 }
 
 // Client calls services. It is safe for concurrent use.
@@ -56,19 +64,14 @@
 	cfg Config
 
 	mu      sync.Mutex
-	lookups map[string]lookup
-}
-
-type lookup struct {
-	hosts []string
-	until time.Time
+	lookups map[string]*lookup // by service
 }
 
 // Request is one request to a service.
 type Request struct {
 	Service string
 	Method  string // empty means GET
-	Path    string // with the query, below the service
+	Path    string // with the query, below the service; starts with "/"
 	Header  http.Header
 	Body    []byte
 	// Order says that the request must run at most once. Key is its
@@ -77,26 +80,35 @@
 	Key   string
 }
 
-// Response is a whole answer.
+// Response is a whole answer of the service, whatever its status.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
-	Host   string // entry host that answered
+	Host   string // address of the entry host that answered
 	Key    string // idempotency key of an order
 	Tries  int
 }
 
+// The values of Error.Run.
+const (
+	RunNone    = "not-run" // no attempt did or will run
+	RunRunning = "running" // the order was running at the last answer
+	RunUnknown = "unknown" // an attempt may have run
+	RunDone    = "done"    // it ran, but the answer is over MaxBody
+)
+
 // Error is a refusal, or the failure of all attempts. Run says what is
-// known of the request.
+// known of the request over all attempts of the call. It does not cover
+// earlier calls that sent an order with the same idempotency key.
 type Error struct {
-	Code codes.Code
-	// Run is "not-run" (certainly did not and will not run), "running" or
-	// "unknown".
+	Code  codes.Code
 	Run   string
 	Key   string // idempotency key of an order, to ask again later
 	Tries int
-	Cause error
+	// RetryAfter is how long the host asked to wait, zero if it did not.
+	RetryAfter time.Duration
+	Cause      error
 }
 
 // Error implements error.
@@ -112,10 +124,13 @@
 	if len(cfg.Entries) == 0 {
 		return nil, codes.New(codes.UsageBad, "client: at least one entry host is needed")
 	}
-	if cfg.HTTP == nil {
-		transport := http.DefaultTransport.(*http.Transport).Clone()
-		transport.TLSClientConfig = cfg.TLS
-		cfg.HTTP = &http.Client{Transport: transport}
+	for _, entry := range cfg.Entries {
+		if _, err := netip.ParseAddrPort(entry); err != nil {
+			return nil, codes.Wrap(err, codes.UsageBad, "client: entry host %q is not an IP address and port", entry)
+		}
+	}
+	if cfg.Tries < 0 || cfg.MaxBody < 0 || cfg.Wait < 0 {
+		return nil, codes.New(codes.UsageBad, "client: Tries, MaxBody and Wait must not be below 0")
 	}
 	if cfg.Scheme == "" {
 		cfg.Scheme = "http"
@@ -123,111 +138,97 @@
 			cfg.Scheme = "https"
 		}
 	}
+	if cfg.Scheme != "http" && cfg.Scheme != "https" {
+		return nil, codes.New(codes.UsageBad, "client: scheme is %q, must be http or https", cfg.Scheme)
+	}
 	if cfg.Tries == 0 {
 		cfg.Tries = defaultTries
 	}
-	return &Client{cfg: cfg, lookups: make(map[string]lookup)}, nil
-}
-
-type hostsJSON struct {
-	Lifetime float64 `json:"lifetime"`
-	Hosts    []struct {
-		Address string `json:"address"`
-	} `json:"hosts"`
-}
-
-// Hosts returns the ranked entry hosts for a service, from the cache if the
-// last look-up is still valid. If no entry host answers, an expired look-up
-// is used, and the configured entries after that.
-func (c *Client) Hosts(ctx context.Context, service string) []string {
-	c.mu.Lock()
-	last, ok := c.lookups[service]
-	c.mu.Unlock()
-	if ok && time.Now().Before(last.until) {
-		return last.hosts
-	}
-	for _, entry := range append(append([]string(nil), last.hosts...), c.cfg.Entries...) {
-		found, err := c.lookup(ctx, entry, service)
-		if err != nil {
-			continue
-		}
-		c.mu.Lock()
-		c.lookups[service] = found
-		c.mu.Unlock()
-		return found.hosts
-	}
-	if len(last.hosts) > 0 {
-		return last.hosts
+	if cfg.MaxBody == 0 {
+		cfg.MaxBody = defaultBody
 	}
-	return c.cfg.Entries
+	cfg.HTTP = sender(cfg)
+	return &Client{cfg: cfg, lookups: make(map[string]*lookup)}, nil
 }
 
-func (c *Client) lookup(ctx context.Context, entry, service string) (lookup, error) {
-	target := c.cfg.Scheme + "://" + entry + "/v1/hosts?service=" + url.QueryEscape(service)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
-	if err != nil {
-		return lookup{}, errors.Wrap(err, "client: look-up")
-	}
-	resp, err := c.cfg.HTTP.Do(req)
-	if err != nil {
-		return lookup{}, errors.Wrap(err, "client: look-up")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var answer hostsJSON
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil || resp.StatusCode != http.StatusOK || len(answer.Hosts) == 0 {
-		return lookup{}, errors.Errorf("client: look-up answered %s", resp.Status)
-	}
-	life := time.Duration(answer.Lifetime * float64(time.Second))
-	found := lookup{until: time.Now().Add(max(life, shortLife))}
-	for _, h := range answer.Hosts {
-		found.hosts = append(found.hosts, h.Address)
+// sender returns the HTTP client of a configuration. It never follows a
+// redirect: that would send a request, perhaps an order, a second time.
+func sender(cfg Config) *http.Client {
+	out := &http.Client{}
+	if cfg.HTTP != nil {
+		*out = *cfg.HTTP
+	} else {
+		if cfg.Wait == 0 {
+			cfg.Wait = defaultWait
+		}
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		transport.TLSClientConfig, transport.ResponseHeaderTimeout = cfg.TLS, cfg.Wait
+		out.Transport = transport
 	}
-	return found, nil
-}
-
-// forget drops the cached look-up of a service.
-func (c *Client) forget(service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l := c.lookups[service]
-	l.until = time.Time{}
-	c.lookups[service] = l
+	out.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return out
 }
 
 // Do sends a request and returns its whole answer. It tries again, on other
 // hosts where there are some, while that is safe: always after "not run",
 // and after an open outcome if the request is idempotent or an order, whose
-// idempotency key keeps it from running twice. Its error is an *Error.
+// idempotency key keeps it from running twice. The deadline of the context
+// goes along with the request. Its error is an *Error.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
 	if r.Order && r.Key == "" {
 		r.Key = uuid.Must(uuid.NewV7()).String()
 	}
-	last := &Error{Run: "not-run", Key: r.Key, Cause: errors.New("no attempt was made")}
-	for try := 1; try <= c.cfg.Tries; try++ {
-		hosts := c.Hosts(ctx, r.Service)
-		resp, failed := c.once(ctx, hosts[(try-1)%len(hosts)], r)
+	_, bounded := ctx.Deadline()
+	pauses := &backoff.ExponentialBackOff{
+		InitialInterval: firstPause, MaxInterval: maxPause, Multiplier: 2, RandomizationFactor: backoff.DefaultRandomizationFactor,
+	}
+	pauses.Reset()
+	var last *Error
+	tried := make(map[string]int)
+	for try, counted := 1, 0; ; try++ {
+		host := pick(c.Hosts(ctx, r.Service), tried)
+		tried[host]++
+		resp, failed := c.once(ctx, host, r)
 		if failed == nil {
 			resp.Tries, resp.Key = try, r.Key
 			return resp, nil
 		}
-		failed.Tries = try
-		// Once an attempt may have run, a later "not run" speaks only for
-		// itself.
-		if last.Run != "not-run" && failed.Run == "not-run" {
-			failed.Run = last.Run
-		}
+		failed.Tries, failed.Run = try, merge(last, failed.Run)
 		last = failed
-		if final(failed.Code) || !c.wait(ctx, try, failed) {
-			break
+		if failed.Code != codes.OrderRunning || !bounded {
+			counted++
+		}
+		if counted >= c.cfg.Tries || final(failed.Code) || !wait(ctx, pauses.NextBackOff(), failed.RetryAfter) {
+			return Response{}, last
 		}
 	}
-	return Response{}, last
+}
+
+// merge returns what is known after another failed attempt. Once an attempt
+// may have run, a later "not run" speaks only for itself.
+func merge(last *Error, run string) string {
+	if last != nil && last.Run != RunNone && run == RunNone {
+		return RunUnknown
+	}
+	return run
+}
+
+// pick returns the best-ranked of the hosts that were tried least.
+func pick(hosts []string, tried map[string]int) string {
+	best := hosts[0]
+	for _, h := range hosts {
+		if tried[h] < tried[best] {
+			best = h
+		}
+	}
+	return best
 }
 
 // final reports whether another attempt cannot end differently.
 func final(code codes.Code) bool {
 	switch code {
-	case codes.RequestBad, codes.RequestTooLarge, codes.RouteUnknown, codes.ServiceAbsent,
+	case codes.UsageBad, codes.RequestBad, codes.RequestTooLarge, codes.RouteUnknown, codes.ServiceAbsent,
 		codes.KeyMissing, codes.KeyUnknown, codes.KeyWithdrawn,
 		codes.OrderKeyMissing, codes.OrderMismatch, codes.OrderExpired, codes.OrderUnknown:
 		return true
@@ -236,14 +237,19 @@
 	}
 }
 
-// wait pauses with jitter before the next attempt. It reports false when
-// the context ends first.
-func (c *Client) wait(ctx context.Context, try int, failed *Error) bool {
-	pause := min(firstPause<<try, maxPause)
-	if after, ok := failed.Cause.(*retryLater); ok {
-		pause = max(pause, after.after)
+// longestWait bounds a wait that a host asks for in a call without a
+// deadline.
+const longestWait = time.Minute
+
+// wait pauses before the next attempt, never for less than the host asked
+// for. It reports false if the context ends before, at once if its deadline
+// is known to come first.
+func wait(ctx context.Context, pause, asked time.Duration) bool {
+	pause += asked
+	deadline, ok := ctx.Deadline()
+	if ok && time.Until(deadline) <= pause || !ok && asked > longestWait {
+		return false
 	}
-	pause = pause/2 + rand.N(pause/2+1)
 	select {
 	case <-ctx.Done():
 		return false
@@ -252,69 +258,8 @@
 	}
 }
 
-// retryLater is a refusal that names a time to wait.
-type retryLater struct {
-	text  string
-	after time.Duration
-}
-
-// Error implements error.
-func (r *retryLater) Error() string { return r.text }
-
-func (c *Client) once(ctx context.Context, host string, r Request) (Response, *Error) {
-	req, err := c.request(ctx, host, r)
-	if err != nil {
-		return Response{}, &Error{Code: codes.UsageBad, Run: "not-run", Key: r.Key, Cause: err}
-	}
-	resp, err := c.cfg.HTTP.Do(req)
-	if err != nil {
-		c.forget(r.Service)
-		return Response{}, &Error{Code: codes.PeerDown, Run: "unknown", Key: r.Key, Cause: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return Response{}, &Error{Code: codes.ServerCut, Run: "unknown", Key: r.Key, Cause: err}
-	}
-	if run := resp.Header.Get("Azurering-Run"); run != "done" {
-		return Response{}, c.refusal(r, resp, body, run)
-	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Host: host}, nil
-}
-
-func (c *Client) refusal(r Request, resp *http.Response, body []byte, run string) *Error {
-	code, _ := strconv.Atoi(resp.Header.Get("Azurering-Code"))
-	if run == "" {
-		run = "unknown"
-	}
-	if codes.Code(code) == codes.HostLeaving {
-		c.forget(r.Service)
-	}
-	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
-	cause := &retryLater{text: string(body), after: time.Duration(seconds) * time.Second}
-	return &Error{Code: codes.Code(code), Run: run, Key: r.Key, Cause: cause}
-}
-
-func (c *Client) request(ctx context.Context, host string, r Request) (*http.Request, error) {
-	method := r.Method
-	if method == "" {
-		method = http.MethodGet
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.cfg.Scheme+"://"+host+"/s/"+r.Service+r.Path, bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, errors.Wrap(err, "client: request")
-	}
-	for name, values := range r.Header {
-		req.Header[name] = values
-	}
-	if c.cfg.Key != "" {
-		req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
-	}
-	if r.Order {
-		req.Header.Set("Idempotency-Key", r.Key)
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		req.Header.Set("Azurering-Deadline", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
-	return req, nil
+// dialFailed reports whether an error proves that no connection was made.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
