--- a/app/verbs/verbs.go
+++ b/app/verbs/verbs.go
@@ -104,7 +104,7 @@
 		Commands: []*cli.Command{
 			v.entryCommand(), v.demoCommand(), v.sheetCommand(), v.keyCommand(), v.shiftCommand(),
 			v.drainCommand(), v.stopCommand(), v.resumeCommand(), v.hostsCommand(), v.statusCommand(),
-			v.askCommand(),
+			v.askCommand(), v.reportCommand(),
 		},
 	}
 	v.prepare(root)
--- a/app/verbs/verbs_test.go
+++ b/app/verbs/verbs_test.go
@@ -295,7 +295,7 @@
 	l := newLab(t)
 	for _, line := range []string{
 		"", "entry", "demo", "sheet", "sheet check", "sheet apply", "sheet show", "sheet status", "key", "key grant", "key withdraw",
-		"key list", "shift", "drain", "stop", "resume", "hosts", "status", "ask",
+		"key list", "shift", "drain", "stop", "resume", "hosts", "status", "ask", "report",
 	} {
 		code, out, errs := l.run(context.Background(), line+" --help")
 		require.Zero(t, code, errs)
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -105,6 +105,12 @@
 	return raw, version, codes.Wrap(err, codes.Internal, "admin: answer has no version")
 }
 
+// Metrics returns the metrics of the host in the Prometheus text format.
+func (c *Client) Metrics(ctx context.Context) ([]byte, error) {
+	raw, _, err := c.raw(ctx, http.MethodGet, "/metrics", nil)
+	return raw, err
+}
+
 // CheckSheet validates a sheet on the host and returns the version in force.
 func (c *Client) CheckSheet(ctx context.Context, sheet []byte) (uint64, error) {
 	var out publishedJSON
