--- a/app/verbs/plot.go
+++ b/app/verbs/plot.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	plotWidth  = 14 * vg.Centimeter
+	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 6 * vg.Centimeter
 	barWidth   = 0.5 * vg.Centimeter
 )
