examples: ask again while an order is running

Another host answers that the order is running until its outcome is recorded, and the example took that as final. Change: the example asks again, as callers do.

--- a/examples/order/main.go
+++ b/examples/order/main.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"azurering/core"
 	"azurering/core/codes"
@@ -37,7 +38,7 @@
 	}
 	net4 := order.Request{Workspace: "loft-a", Key: "net-4", Hash: order.Hash("POST", "/orders", []byte("net 4"))}
 	for _, host := range []*order.Orders{first, first, second} {
-		result, err := host.Do(ctx, net4, mend)
+		result, err := settled(ctx, host, net4, mend)
 		fmt.Println(result.Status, string(result.Body), "repeated:", result.Repeated, "error:", err)
 	}
 	fmt.Println("runs:", runs)
@@ -48,7 +49,7 @@
 	net5 := order.Request{Workspace: "loft-a", Key: "net-5", Hash: order.Hash("POST", "/orders", []byte("net 5"))}
 	_, err := first.Do(ctx, net5, lost)
 	fmt.Println("unclear outcome:", codes.Is(err, codes.OrderUnknown))
-	_, err = second.Do(ctx, net5, mend)
+	_, err = settled(ctx, second, net5, mend)
 	fmt.Println("its repeat:", codes.Is(err, codes.OrderUnknown), "runs:", runs)
 
 	other := net4
@@ -58,3 +59,15 @@
 	cancel()
 	running.Wait()
 }
+
+// settled asks again while the order is running, as callers do: another host
+// answers so until the outcome is recorded in the table.
+func settled(ctx context.Context, host *order.Orders, r order.Request, send order.Send) (order.Result, error) {
+	for {
+		result, err := host.Do(ctx, r, send)
+		if !codes.Is(err, codes.OrderRunning) {
+			return result, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
