--- a/app/demo/process_test.go
+++ b/app/demo/process_test.go
@@ -134,7 +134,7 @@
 
 // publishTo publishes the sheet at one process and waits until all are fresh
 // on its version.
-func publishTo(t *testing.T, w *world, list []*process, sheet []byte) {
+func publishTo(t *testing.T, list []*process, sheet []byte) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
@@ -184,7 +184,7 @@
 	defer w.close()
 	list := startProcesses(t, w, binary)
 	sheet := sheetOf(Association, p, w.tenants, w.servers())
-	publishTo(t, w, list, writeSheet(t, sheet))
+	publishTo(t, list, writeSheet(t, sheet))
 
 	l, err := newLoad(w, 7)
 	require.NoError(t, err)
--- a/app/entry/serve.go
+++ b/app/entry/serve.go
@@ -35,7 +35,7 @@
 		newSlotUse, newPools, newServers, newSteer, newBeater, newOrders, newDesk, newRemote, newFlow,
 		newControl, newGuard, newStopper, newListeners,
 	),
-	fx.Invoke(runBeater, runPools, runSteer, runOrders, runDesk, runListeners),
+	fx.Invoke(runBeater, runPools, runSteer, runOrders, runDesk, watchGauges, runListeners),
 )
 
 func newServers(lc fx.Lifecycle, t core.Timer) core.Servers {
--- a/core/flow.go
+++ b/core/flow.go
@@ -40,7 +40,7 @@
 	Refused bool // the server shed the request
 	// Open says that the exchange was given up while the server may still
 	// be working on the request.
-	Open bool
+	Open    bool
 	Latency time.Duration
 }
 
--- a/io/setup/read.go
+++ b/io/setup/read.go
@@ -38,13 +38,29 @@
 	Lifetime  string   `toml:"lifetime"`
 	Stop      string   `toml:"stop"`
 	Level     string   `toml:"level"`
-	Caller    listener `toml:"caller"`
+	Caller    callers  `toml:"caller"`
 	Peer      listener `toml:"peer"`
-	Admin     listener `toml:"admin"`
+	Admin     admins   `toml:"admin"`
 	Platform  platform `toml:"platform"`
 	Limits    limits   `toml:"limits"`
 }
 
+type callers struct {
+	Listen    string `toml:"listen"`
+	Advertise string `toml:"advertise"`
+	Cert      string `toml:"cert"`
+	Key       string `toml:"key"`
+}
+
+type admins struct {
+	Listen string `toml:"listen"`
+	Plain  bool   `toml:"plain"`
+	Cert   string `toml:"cert"`
+	Key    string `toml:"key"`
+	CA     string `toml:"ca"`
+	Secret string `toml:"secret"`
+}
+
 type listener struct {
 	Listen    string `toml:"listen"`
 	Advertise string `toml:"advertise"`
@@ -130,9 +146,13 @@
 	s.Retention = c.duration("retention", f.Retention, DefaultRetention, time.Hour, 90*24*time.Hour)
 	s.Lifetime = c.duration("lifetime", f.Lifetime, DefaultLifetime, time.Second, 10*time.Minute)
 	s.Stop = c.duration("stop", f.Stop, DefaultStop, time.Second, time.Hour)
-	s.Caller = c.listener("caller", f.Caller, false)
+	s.Caller = c.listener("caller", listener{
+		Listen: f.Caller.Listen, Advertise: f.Caller.Advertise, Cert: f.Caller.Cert, Key: f.Caller.Key,
+	}, false)
 	s.Peer = c.listener("peer", f.Peer, true)
-	s.Admin = c.listener("admin", f.Admin, true)
+	s.Admin = c.listener("admin", listener{
+		Listen: f.Admin.Listen, Plain: f.Admin.Plain, Cert: f.Admin.Cert, Key: f.Admin.Key, CA: f.Admin.CA, Secret: f.Admin.Secret,
+	}, true)
 	s.Platform = c.platform(f.Platform)
 	s.Limits = c.limits(f.Limits)
 	return s
