keys: let readers write soon after a store outage

A reader's pause between tries grew to 64 s, so a withdrawal could stay undurable for over a minute after the store was back. It now grows to 8 s; other hosts keep the long pauses. The world of the tests also delays answers of peers and reads of single spaces; three tables cases guard that rights and evidence count from the question.

--- a/core/keys/keys_test.go
+++ b/core/keys/keys_test.go
@@ -370,6 +370,11 @@
 	}
 	require.Zero(t, tries(b, 12), "the readers come first")
 	require.LessOrEqual(t, tries(b, 600), 14)
+	_, err = a.peer.Call(ctx, "a", core.WithdrawPush{Withdrawals: withdrawals(0, 1)})
+	require.NoError(t, err)
+	n := tries(a, 600) - 600 // without the polls
+	require.LessOrEqual(t, n, 80, "a reader, too, pauses between its tries")
+	require.GreaterOrEqual(t, n, 60, "a reader must write soon after the store is back")
 	c.table.SetFault(fakes.FaultNone)
 	require.NotZero(t, tries(b, 90), "it keeps trying")
 	_, loose := b.Withdrawals()
--- a/core/keys/tick.go
+++ b/core/keys/tick.go
@@ -143,8 +143,9 @@
 }
 
 // writeLoose tries to write all withdrawals that are not known to be in the
-// table, and sets the time of the next try: the pause doubles up to sixteen
-// freshness bounds, about a minute.
+// table, and sets the time of the next try. The pause doubles up to two
+// freshness bounds on a reader of the table, and up to sixteen, about a
+// minute, on the many other hosts.
 func (k *Keys) writeLoose(ctx context.Context) error {
 	err := k.Poll(ctx)
 	if err == nil {
@@ -156,7 +157,11 @@
 		return err
 	}
 	k.writeAt = k.cfg.Timer.Now() + k.retry + k.jitter(k.retry/4+time.Millisecond)
-	k.retry = min(2*k.retry, 16*k.cfg.Evidence.Bound())
+	limit := 16 * k.cfg.Evidence.Bound()
+	if k.cfg.Seat.Reader() {
+		limit = 2 * k.cfg.Evidence.Bound()
+	}
+	k.retry = min(2*k.retry, limit)
 	return err
 }
 
--- a/core/seats/faults_test.go
+++ b/core/seats/faults_test.go
@@ -177,6 +177,14 @@
 		{"promise outlives the bound", []do{
 			noDB(true, "a1"), run(6 * s), acts("a1"), pause("a1", true), run(3 * s), acts("a1"), run(2 * s), acts(""), run(9 * s), acts("any"),
 		}},
+		{"promise counts from its answer", []do{
+			noDB(true, "a1", "a3"), run(6 * s), acts("a1"), func(_ *testing.T, w *world) {
+				w.hosts["a1"].lag, w.hosts["a1"].lagKind = 14*s, core.KindSeatPromise
+			}, run(16 * s), acts("a2"),
+		}},
+		{"slow read of the row counts from its end", []do{
+			func(_ *testing.T, w *world) { w.hosts["a1"].stall, w.hosts["a1"].slow = 14*s, core.SpaceSeat }, run(16 * s), acts("any"),
+		}},
 		{"host that only the store connects takes the seat back again and again", []do{
 			split("a1"), run(20 * s), always("any", 60*s),
 		}},
@@ -288,6 +296,18 @@
 				}
 			}, run(20 * s), admits("c1", codes.KeyUnproven),
 		}},
+		{"an attestation counts from its answer", []do{
+			noDB(true, domainC...), func(t *testing.T, w *world) {
+				w.quiet = true
+				w.hosts["c1"].lag, w.hosts["c1"].lagKind, w.hosts["c1"].lagTo = 8*s, core.KindAttest, "b1"
+				w.onStall = func() {
+					w.isolate(group(domainC...), true)
+					withdraw(true)(t, w)
+				}
+			}, run(30 * s), func(t *testing.T, w *world) {
+				require.Zero(t, w.hosts["c1"].lag, "host b1 was asked")
+			},
+		}},
 		{"a withdrawal without a majority of domains is accepted", []do{
 			split("a1", "a2", "a3"), withdraw(false), links(), run(10 * s), withdraw(true),
 		}},
--- a/core/seats/machine_test.go
+++ b/core/seats/machine_test.go
@@ -76,6 +76,11 @@
 				h := running()
 				h.stall, h.frozen = seconds(), rapid.Bool().Draw(t, "frozen")
 			},
+			"lag": func(*rapid.T) {
+				h := running()
+				kinds := []core.Kind{core.KindAttest, core.KindSeatPromise, core.KindBeat, core.KindWithdrawPush, core.KindWithdrawPull}
+				h.lag, h.lagKind, h.frozen = seconds(), rapid.SampledFrom(kinds).Draw(t, "kind"), rapid.Bool().Draw(t, "frozen")
+			},
 			"restart": func(*rapid.T) { h := running(); w.kill(h); w.start(h.Name, h.Domain) },
 			"kill":    func(*rapid.T) { w.kill(running()) },
 			"start": func(*rapid.T) {
--- a/core/seats/world_test.go
+++ b/core/seats/world_test.go
@@ -40,6 +40,7 @@
 	accepted map[core.KeyID]time.Duration
 	gone     map[core.HostID]bool
 	depth    int
+	quiet    bool // no heartbeats between domains
 	timeout  time.Duration
 	parallel int    // peer calls under way at once; 1 keeps a run repeatable
 	lax      bool   // skips the checks, for measurements of many hosts
@@ -50,26 +51,29 @@
 // host is one run of an entry host.
 type host struct {
 	core.Host
-	w      *world
-	clock  *timer.Manual
-	speed  float64
-	peer   simPeer
-	seat   *seats.Seat
-	keys   *keys.Keys
-	ev     *seats.Evidence
-	dead   bool
-	paused bool
-	noDB   bool
-	noLog  bool // the log of withdrawals cannot be read
-	busy   bool
-	commit string        // fault of the next commit
-	stall  time.Duration // length of the next call to the table
-	slow   core.Space    // if set, only calls to this space stall
-	hang   bool          // calls to the table and to peers end only with their context
-	frozen bool          // the stalled host answers no messages
-	reads  map[core.Space]int
-	known  map[core.KeyID]bool
-	watch  map[core.KeyID]*keys.Watch
+	w       *world
+	clock   *timer.Manual
+	speed   float64
+	peer    simPeer
+	seat    *seats.Seat
+	keys    *keys.Keys
+	ev      *seats.Evidence
+	dead    bool
+	paused  bool
+	noDB    bool
+	noLog   bool // the log of withdrawals cannot be read
+	busy    bool
+	commit  string        // fault of the next commit
+	stall   time.Duration // length of the next call to the table
+	slow    core.Space    // if set, only calls to this space stall
+	lag     time.Duration // how late the next answer of lagKind arrives
+	lagKind core.Kind
+	lagTo   core.HostID // if set, only its answers are late
+	hang    bool        // calls to the table and to peers end only with their context
+	frozen  bool        // the stalled host answers no messages
+	reads   map[core.Space]int
+	known   map[core.KeyID]bool
+	watch   map[core.KeyID]*keys.Watch
 }
 
 func bearer(id core.KeyID) string { return "secret-" + string(id) }
@@ -173,7 +177,7 @@
 		out = []core.HostID{out[at%n], out[(at*31+17)%n], out[(at*13+5)%n]}
 	}
 	for _, d := range w.domains {
-		if hosts := w.live(h, d); d != h.Domain && len(hosts) > 0 {
+		if hosts := w.live(h, d); !w.quiet && d != h.Domain && len(hosts) > 0 {
 			return append(out, hosts[0].Name)
 		}
 	}
@@ -349,7 +353,7 @@
 			w.setCut(a, b, false)
 		}
 		h := w.hosts[a]
-		h.noDB, h.noLog, h.commit, h.stall = false, false, "", 0
+		h.noDB, h.noLog, h.commit, h.stall, h.lag = false, false, "", 0, 0
 		w.pause(h, false)
 		if h.dead {
 			w.start(a, h.Domain)
@@ -382,6 +386,13 @@
 		p.to[to]++
 	}
 	p.mu.Unlock()
+	if p.h.lag > 0 && p.h.lagKind == m.Kind() && (p.h.lagTo == "" || p.h.lagTo == to) {
+		answer, err := p.Peer.Call(ctx, to, m)
+		d := p.h.lag
+		p.h.lag = 0
+		p.h.wait(d)
+		return answer, err
+	}
 	if p.h.hang {
 		<-ctx.Done()
 		return nil, codes.New(codes.PeerDown, "sim: no answer")
@@ -392,18 +403,21 @@
 // simTable is the table as one host reaches it.
 type simTable struct{ h *host }
 
-// wait lets the world run on while the host waits for the table. A frozen
-// host is paused in that time.
+// wait lets the world run on while the host waits for the table.
 func (s simTable) wait(space core.Space) {
-	h, w := s.h, s.h.w
-	if h.slow != "" && h.slow != space {
+	h := s.h
+	if h.stall == 0 || (h.slow != "" && h.slow != space) {
 		return
 	}
 	d := h.stall
-	if d == 0 {
-		return
-	}
 	h.stall = 0
+	h.wait(d)
+}
+
+// wait lets the world run on while the host waits for an answer. A frozen
+// host is paused in that time.
+func (h *host) wait(d time.Duration) {
+	w := h.w
 	if w.depth > 0 || h.dead {
 		return
 	}
