--- a/core/peers.go
+++ b/core/peers.go
@@ -144,6 +144,9 @@
 	Want     Amount // what the host could use
 	// Moved passes on Loan.Moved to the seat holder of the host's domain.
 	Moved bool
+	// Short is how many tokens, in thousandths of a request, waiting
+	// requests lack.
+	Short int64
 }
 
 // LoanAsk asks the seat holder for loans and reports those held from the
@@ -163,6 +166,9 @@
 type Loan struct {
 	Resource Resource
 	Amount   Amount
+	// Tokens are tokens out of the seat holder's own bucket, which fills with
+	// what is not lent. They add to the host's tokens up to its burst.
+	Tokens int64
 	// Moved says that a part of the resource was lately transferred to the
 	// domain of the host; its seat holder reads the row when it hears of it.
 	Moved bool
--- a/core/rates/bucket.go
+++ b/core/rates/bucket.go
@@ -40,7 +40,8 @@
 	tokens   int64 // thousandths of a request
 	frac     int64 // billionths of a token unit
 	last     time.Duration
-	queued   int64 // weight in the queue
+	queued   int64         // weight in the queue
+	needAt   time.Duration // earliest next ask for tokens
 	stats    Stats
 	demand   demand
 }
@@ -135,6 +136,23 @@
 	return true
 }
 
+// needGap is the shortest time between two asks of a bucket for tokens, so
+// that a flood of requests does not become a flood of asks.
+const needGap = 100 * time.Millisecond
+
+// lack returns the tokens to ask for, up to the burst, or zero if it is too
+// early to ask again.
+func (b *bucket) lack(now time.Duration, weight int64) int64 {
+	if now < b.needAt {
+		return 0
+	}
+	lack := min(b.queued+weight, b.burst) - b.tokens
+	if lack > 0 {
+		b.needAt = now + needGap
+	}
+	return max(lack, 0)
+}
+
 // never is the answer of until if the present loans can never admit.
 const never = time.Duration(math.MaxInt64)
 
--- a/core/rates/fleet_test.go
+++ b/core/rates/fleet_test.go
@@ -140,6 +140,7 @@
 		Host: h.id, Incarnation: run, Domain: h.domain, Peers: hostPeers{h, h.peer, run}, Timer: h.f.timer,
 		Seat:    h.f.holderOf,
 		Changed: lim.SetLoans,
+		Tokens:  lim.AddTokens,
 	}
 	if h.f.borrow {
 		hc.Lenders = func() []core.DomainID { return h.f.others(h.domain) }
--- a/core/rates/limiter.go
+++ b/core/rates/limiter.go
@@ -16,8 +16,9 @@
 type Lender interface {
 	// Want sets what the host could use of a resource.
 	Want(r core.Resource, want core.Amount)
-	// Need asks at once for more of a resource.
-	Need(r core.Resource)
+	// Need asks at once for more of a resource: for slots, or for the
+	// tokens, in thousandths of a request, that requests lack.
+	Need(r core.Resource, tokens int64)
 }
 
 // LimiterConfig configures a Limiter. Timer is required for Wait and Run.
@@ -135,6 +136,27 @@
 	}
 }
 
+// AddTokens adds tokens that a lender gave, up to the burst. It fits
+// share.HolderConfig.Tokens.
+func (l *Limiter) AddTokens(now time.Duration, r core.Resource, tokens int64) {
+	b := l.index.Load().resources[r]
+	if b == nil || tokens <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens += tokens
+	b.clamp()
+}
+
+// need asks the lender for the tokens that a resource lacks.
+func (l *Limiter) need(r core.Resource, tokens int64) {
+	if lender := l.lender.Load(); lender != nil && tokens > 0 {
+		(*lender).Need(r, tokens)
+	}
+}
+
 // Admit decides at once about a request of a workspace; weight is in
 // thousandths of a request. The error is a *Refusal, or carries NoConfig
 // for an unknown workspace and RequestBad for a weight below one. A request
@@ -169,11 +191,12 @@
 	}
 	after := b.until(weight, b.queued)
 	refusal := l.refuse(b, after)
-	bare := b.burst == 0
+	bare, lack := b.burst == 0, b.lack(now, weight)
 	b.mu.Unlock()
 	if bare {
 		l.want(b.resource, b.wanted())
 	}
+	l.need(b.resource, lack)
 	return refusal
 }
 
--- a/core/rates/slots.go
+++ b/core/rates/slots.go
@@ -66,7 +66,7 @@
 	s.mu.Unlock()
 	if s.Lender != nil {
 		s.Lender.Want(r, want)
-		s.Lender.Need(r)
+		s.Lender.Need(r, 0)
 	}
 	return false
 }
--- a/core/rates/wait.go
+++ b/core/rates/wait.go
@@ -43,11 +43,17 @@
 		return t, nil
 	}
 	after := b.until(weight, b.queued)
-	bare := b.burst == 0
-	// Without a loan the wait is worth while: an ask is answered within it.
-	if after > bound && !bare {
+	bare, lack := b.burst == 0, int64(0)
+	if after > bound/4 {
+		lack = b.lack(now, weight)
+	}
+	// Beyond what the loans can admit in time, as much as the burst waits
+	// for tokens or loans that the lender may give: an ask is answered well
+	// within the wait.
+	if after > bound && b.queued+weight > max(b.burst, 2*Request) {
 		refusal := l.refuse(b, after)
 		b.mu.Unlock()
+		l.need(b.resource, lack)
 		return nil, refusal
 	}
 	b.queued += weight
@@ -55,6 +61,7 @@
 	if bare {
 		l.want(b.resource, b.wanted())
 	}
+	l.need(b.resource, lack)
 	if dropped := l.queue.Push(w, weight, t); dropped != nil {
 		l.drop(dropped.(*Ticket), codes.QueueFull)
 	}
--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -31,6 +31,10 @@
 	// It must not call the Holder. Expiries are not told; the parts name
 	// them.
 	Changed func(now time.Duration, r core.Resource, parts []Part)
+	// Tokens is told tokens that a seat holder gives beside the loans. It is
+	// called after Changed, and must not call the Holder either. Nil means
+	// that none are asked for.
+	Tokens func(now time.Duration, r core.Resource, tokens int64)
 	// InUse returns the slots of a resource that are taken by requests.
 	// They are reported as held even if the loan is smaller. Nil means none.
 	InUse func(core.Resource) int64
@@ -68,10 +72,15 @@
 	cfg  HolderConfig
 	wake chan struct{}
 
-	mu      sync.Mutex
-	wants   map[core.Resource]core.Amount
-	asked   map[core.Resource]core.Amount // wants that the own domain has been told
-	moved   map[core.Resource]bool        // transfers that the own domain has not been told
+	mu    sync.Mutex
+	wants map[core.Resource]core.Amount
+	asked map[core.Resource]core.Amount // wants that the own domain has been told
+	moved map[core.Resource]bool        // transfers that the own domain has not been told
+	// shorts are the tokens to ask of the own domain, lacks what it did not
+	// give, to ask of the others; dry is when to ask for tokens again.
+	shorts  map[core.Resource]int64
+	lacks   map[core.Resource]int64
+	dry     map[core.Resource]time.Duration
 	loans   map[core.Resource][]Part
 	lenders map[core.DomainID]*lender
 	turn    int           // position in the list of other domains
@@ -110,6 +119,9 @@
 		wants:   make(map[core.Resource]core.Amount),
 		asked:   make(map[core.Resource]core.Amount),
 		moved:   make(map[core.Resource]bool),
+		shorts:  make(map[core.Resource]int64),
+		lacks:   make(map[core.Resource]int64),
+		dry:     make(map[core.Resource]time.Duration),
 		loans:   make(map[core.Resource][]Part),
 		lenders: make(map[core.DomainID]*lender),
 	}
@@ -138,15 +150,32 @@
 	}
 }
 
-// Need asks at once for more of a resource, at most once per Gap.
-func (h *Holder) Need(core.Resource) {
+// Need asks at once for more of a resource, at most once per Gap: for slots,
+// or for the tokens that waiting requests lack. After an ask that brought no
+// tokens, the next waits a third of Renew.
+func (h *Holder) Need(r core.Resource, tokens int64) {
+	now := h.cfg.Timer.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hurry()
+	if h.returned {
+		return
+	}
+	if tokens <= 0 || h.cfg.Tokens == nil {
+		h.hurry()
+		return
+	}
+	if now >= h.dry[r] {
+		h.shorts[r] = tokens
+		h.signal()
+	}
 }
 
 func (h *Holder) hurry() {
 	h.lender(h.cfg.Domain).urgent = true
+	h.signal()
+}
+
+func (h *Holder) signal() {
 	select {
 	case h.wake <- struct{}{}:
 	default:
@@ -194,12 +223,28 @@
 	h.mu.Lock()
 	now, l := h.cfg.Timer.Now(), h.lender(h.cfg.Domain)
 	due := now >= l.next || (l.urgent && now >= l.last+h.cfg.Gap) || (now >= l.last+h.cfg.Renew/3 && h.short(now))
+	tokens := len(h.shorts) > 0 && now >= l.last+h.cfg.Gap
 	h.mu.Unlock()
-	if due {
+	switch {
+	case due:
 		_, _ = h.ask(ctx, h.cfg.Domain, h.ownItems)
+	case tokens:
+		_, _ = h.ask(ctx, h.cfg.Domain, h.shortItems)
 	}
 }
 
+// shortItems lists only the resources that are short of tokens. The others
+// keep their loans.
+func (h *Holder) shortItems(now time.Duration) []core.LoanItem {
+	var items []core.LoanItem
+	for _, item := range h.ownItems(now) {
+		if item.Short > 0 {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
 // short reports whether some loans are below the need.
 func (h *Holder) short(now time.Duration) bool {
 	for r, want := range h.wants {
@@ -221,8 +266,7 @@
 			continue
 		}
 		h.asked[r] = want
-		items = append(items, core.LoanItem{Resource: r, Held: held, Want: want, Moved: h.moved[r]})
-		delete(h.moved, r)
+		items = append(items, core.LoanItem{Resource: r, Held: held, Want: want, Moved: h.moved[r], Short: h.shorts[r]})
 	}
 	return items
 }
@@ -231,6 +275,8 @@
 // another domain still lends it.
 func (h *Holder) forget(r core.Resource, now time.Duration) {
 	delete(h.asked, r)
+	delete(h.dry, r)
+	delete(h.moved, r)
 	if Sum(h.loans[r], now).IsZero() {
 		delete(h.loans, r)
 	}
@@ -290,6 +336,7 @@
 	h.fails++
 	if h.fails >= len(list) {
 		h.fails = 0
+		clear(h.lacks)
 		h.pause = h.cfg.Timer.Now() + h.cfg.Renew
 	}
 }
@@ -319,6 +366,9 @@
 	for r := range h.wants {
 		lack += max(h.lack(r, now), 0)
 	}
+	for _, tokens := range h.lacks {
+		lack += tokens
+	}
 	return d, lack
 }
 
@@ -329,31 +379,43 @@
 	for _, r := range h.resources() {
 		held := h.heldFrom(d, r, now)
 		lack := h.lack(r, now)
-		if held.IsZero() && (!more || lack <= 0) {
+		short := int64(0)
+		if more {
+			short = h.lacks[r]
+		}
+		if held.IsZero() && short == 0 && (!more || lack <= 0) {
 			continue
 		}
-		want := max(held.Rate+lack, 0)
-		items = append(items, core.LoanItem{Resource: r, Held: held, Want: core.Amount{Rate: want}})
+		want := core.Amount{Rate: max(held.Rate+lack, 0)}
+		if Sum(h.loans[r], now).Burst < h.wants[r].Burst {
+			want.Burst = h.wants[r].Burst
+		}
+		items = append(items, core.LoanItem{Resource: r, Held: held, Want: want, Short: short})
 	}
 	return items
 }
 
+// slack is a rate below which loans are not moved: the estimate of a small
+// demand varies by about this much, and tokens out of the seat holders'
+// buckets make up for it.
+const slack = request / 2
+
 // lack returns the rate that the loans are short of, negative if they are
 // more than is wanted. Loans between the need and a third more are left as
 // they are: other domains keep what they do not need for those that are
-// short. Only what the own domain has been asked for counts. Loans without a
-// whole request of burst admit nothing and count as short.
+// short. Only what the own domain has been asked for counts. Loans whose
+// burst is below the largest request admit nothing and count as short.
 func (h *Holder) lack(r core.Resource, now time.Duration) int64 {
 	need := min(h.wants[r].Rate, h.asked[r].Rate)
 	held := Sum(h.loans[r], now)
 	switch {
 	case need <= 0:
 		return -held.Rate
-	case held.Burst < request:
+	case held.Burst < h.wants[r].Burst:
 		return max(need-held.Rate, need/8, 1)
-	case held.Rate < need+need/16:
+	case held.Rate < need+need/16-slack:
 		return need + need/5 - held.Rate
-	case held.Rate > need+need/3:
+	case held.Rate > need+need/3+slack:
 		return need + need/3 - held.Rate
 	default:
 		return 0
@@ -376,7 +438,8 @@
 		h.mu.Unlock()
 		return 0, nil
 	}
-	l.busy, l.urgent, l.last, l.next = true, false, now, now+h.cfg.Renew
+	l.busy, l.last = true, now
+	h.sent(d, l, items, now)
 	l.seq++
 	m := core.LoanAsk{Host: h.cfg.Host, Incarnation: h.cfg.Incarnation, Seq: l.seq, Epoch: l.epoch, Items: items}
 	h.stats.Asks++
@@ -395,6 +458,22 @@
 	return h.apply(d, l, items, grant, now), nil
 }
 
+// sent notes what an ask tells. An ask for tokens alone does not put off
+// the next renewal.
+func (h *Holder) sent(d core.DomainID, l *lender, items []core.LoanItem, now time.Duration) {
+	whole := true
+	for _, item := range items {
+		whole = whole && item.Short == 0
+		if d == h.cfg.Domain {
+			delete(h.moved, item.Resource)
+			delete(h.shorts, item.Resource)
+		}
+	}
+	if whole || now >= l.next {
+		l.urgent, l.next = false, now+h.cfg.Renew
+	}
+}
+
 func (h *Holder) send(ctx context.Context, d core.DomainID, m core.LoanAsk) (core.LoanGrant, error) {
 	host, ok := h.cfg.Seat(d)
 	if !ok {
@@ -420,21 +499,25 @@
 // the ask was sent.
 func (h *Holder) apply(d core.DomainID, l *lender, items []core.LoanItem, grant core.LoanGrant, sent time.Duration) int64 {
 	now := h.cfg.Timer.Now()
-	before := make(map[core.Resource]core.Amount, len(items))
+	before := make(map[core.Resource]core.LoanItem, len(items))
 	for _, item := range items {
-		before[item.Resource] = item.Held
+		before[item.Resource] = item
 	}
 	var gained int64
 	for _, loan := range grant.Loans {
-		held, ok := before[loan.Resource]
+		item, ok := before[loan.Resource]
 		if !ok {
 			continue
 		}
+		held := item.Held
 		delete(before, loan.Resource)
 		if h.returned {
 			continue
 		}
 		h.replace(loan.Resource, Part{Lender: d, Amount: loan.Amount, Until: sent + grant.Length}, now)
+		if now < sent+grant.Length {
+			gained += h.credit(d, item, loan, now)
+		}
 		gained += loan.Amount.Rate - held.Rate
 		if loan.Moved {
 			h.moved[loan.Resource] = true
@@ -449,6 +532,28 @@
 	return gained
 }
 
+// credit passes on tokens. What the own domain could not give is asked of
+// the others.
+func (h *Holder) credit(d core.DomainID, item core.LoanItem, loan core.Loan, now time.Duration) int64 {
+	if item.Short <= 0 || h.cfg.Tokens == nil {
+		return 0
+	}
+	tokens := min(max(loan.Tokens, 0), item.Short)
+	if tokens > 0 {
+		h.cfg.Tokens(now, item.Resource, tokens)
+	}
+	left := item.Short - tokens
+	if d == h.cfg.Domain && tokens == 0 {
+		h.dry[item.Resource] = now + h.cfg.Renew/3
+	}
+	if left > 0 && h.cfg.Lenders != nil {
+		h.lacks[item.Resource] = left
+	} else {
+		delete(h.lacks, item.Resource)
+	}
+	return tokens
+}
+
 func (h *Holder) replace(r core.Resource, part Part, now time.Duration) {
 	var parts []Part
 	for _, p := range h.loans[r] {
--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -30,8 +30,8 @@
 	Token func() string
 	// Length is how long a loan lasts at the host. Zero means 12 s.
 	Length time.Duration
-	// Sustain is how long another domain must be short before a part of
-	// the domain's amount is transferred to it. Zero means 10 s.
+	// Sustain is the time constant of the smoothed needs that decide on
+	// transfers. Zero means 10 s.
 	Sustain time.Duration
 	// Interval is the shortest time between two transfers of a resource by
 	// this domain. Zero means 30 s.
@@ -104,6 +104,7 @@
 // account is the state of one resource in a keeper.
 type account struct {
 	debts ledger
+	pool  pool
 	known bool // row, version and token were read or written in this epoch
 	row   Row
 	ver   uint64
@@ -114,15 +115,17 @@
 	plan    *transfer
 	pending *Row // a write whose outcome is unknown; it expected version ver
 	// short says that the domain's hosts want more than there is.
-	short     bool
-	readAt    time.Duration
-	readGap   time.Duration
-	moveAt    time.Duration // earliest next transfer
-	needSince time.Duration
-	need      core.DomainID
-	movedTo   core.DomainID // receiver of the last transfer
-	movedAt   time.Duration
-	missing   time.Duration // when the row was found to be missing
+	short   bool
+	readAt  time.Duration
+	readGap time.Duration
+	moveAt  time.Duration // earliest next transfer
+	// needs are the smoothed needs of the domain's own hosts and what the
+	// hosts of each other domain want from this one.
+	needs   map[core.DomainID]float64
+	needsAt time.Duration
+	movedTo core.DomainID // receiver of the last transfer
+	movedAt time.Duration
+	missing time.Duration // when the row was found to be missing
 }
 
 // transfer is a planned transfer to another domain.
@@ -190,8 +193,9 @@
 	grant := core.LoanGrant{Epoch: epoch, Length: k.cfg.Length}
 	domain, _ := k.cfg.DomainOf(m.Host)
 	for _, item := range m.Items {
-		amount := k.lend(now, b, domain, item)
-		grant.Loans = append(grant.Loans, core.Loan{Resource: item.Resource, Amount: amount, Moved: k.moved(now, item.Resource, domain)})
+		loan := k.lend(now, b, domain, item)
+		loan.Moved = k.moved(now, item.Resource, domain)
+		grant.Loans = append(grant.Loans, loan)
 	}
 	return grant, nil
 }
@@ -250,11 +254,12 @@
 }
 
 // lend decides on one item of an ask and records the debt.
-func (k *Keeper) lend(now time.Duration, b borrower, domain core.DomainID, item core.LoanItem) core.Amount {
+func (k *Keeper) lend(now time.Duration, b borrower, domain core.DomainID, item core.LoanItem) core.Loan {
 	a := k.account(item.Resource)
 	if item.Moved {
 		a.short, a.readAt = true, now
 	}
+	k.settlePool(now, item.Resource, a)
 	d := a.debts[b]
 	if d == nil {
 		d = &debt{}
@@ -266,7 +271,9 @@
 	*d = debt{domain: domain, amount: held, until: now + drift(k.cfg.Length), want: item.Want, asked: now}
 	amount := k.decide(now, a, b, held, item)
 	d.amount = held.Max(amount)
-	return amount
+	k.settlePool(now, item.Resource, a)
+	d.flying = a.pool.dole(item.Short, domain != k.cfg.Domain)
+	return core.Loan{Resource: item.Resource, Amount: amount, Tokens: d.flying}
 }
 
 func (k *Keeper) decide(now time.Duration, a *account, b borrower, held core.Amount, item core.LoanItem) core.Amount {
@@ -281,7 +288,9 @@
 		return core.Amount{}
 	}
 	others := a.debts.lent(now).Sub(held)
-	room := usable.Sub(others).Max(core.Amount{})
+	room := usable.Sub(others)
+	room.Burst -= a.debts.flying()
+	room = room.Max(core.Amount{})
 	target := a.debts.target(now, k.cfg.Length, usable, b, k.cfg.Domain)
 	own, _ := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
 	if _, sum := a.debts.wants(own, rateOf); sum > usable.Rate {
@@ -302,7 +311,7 @@
 	if held.Slots != target.Slots || held.Rate < want.Rate || target.Rate == 0 {
 		return false
 	}
-	near := func(a, b int64) bool { return max(a-b, b-a)*8 < a }
+	near := func(a, b int64) bool { return max(a-b, b-a) < max(a/8, slack) }
 	return near(held.Rate, target.Rate) && (held.Burst == target.Burst || near(held.Burst, target.Burst))
 }
 
--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -22,6 +22,9 @@
 	until  time.Duration
 	want   core.Amount
 	asked  time.Duration
+	// flying are tokens that were given in the last answer. They count
+	// until the next ask shows that the answer arrived or never will.
+	flying int64
 }
 
 // ledger holds the debts of one resource.
@@ -36,7 +39,7 @@
 			sum = sum.Add(d.amount)
 			continue
 		}
-		d.amount = core.Amount{}
+		d.amount, d.flying = core.Amount{}, 0
 		if now-d.asked > time.Minute {
 			delete(l, b)
 		}
@@ -44,6 +47,16 @@
 	return sum
 }
 
+// flying returns the tokens that may be on their way. It is called after
+// lent.
+func (l ledger) flying() int64 {
+	var sum int64
+	for _, d := range l {
+		sum += d.flying
+	}
+	return sum
+}
+
 // active lists the borrowers that asked lately, in a fixed order, those of
 // the domain first.
 func (l ledger) active(now, within time.Duration, domain core.DomainID) (own, foreign []borrower) {
@@ -94,10 +107,12 @@
 		Rate:  l.part(usable.Rate, own, foreign, b, rateOf),
 		Slots: l.part(usable.Slots, own, nil, b, slotsOf),
 	}
-	t.Burst = scale(usable.Burst, t.Rate, usable.Rate)
+	// The other half of the burst is the keeper's bucket, from which hosts
+	// get tokens at once when they are short.
+	t.Burst = scale(usable.Burst, t.Rate, usable.Rate) / 2
 	if t.Rate > 0 {
 		// A burst below the largest request admits nothing.
-		t.Burst = max(t.Burst, l[b].want.Burst, request)
+		t.Burst = max(t.Burst, l[b].want.Burst)
 	}
 	return t
 }
--- a/core/share/rows.go
+++ b/core/share/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -109,6 +110,8 @@
 	if err != nil {
 		return false
 	}
+	k.settlePool(now, r, a)
+	defer k.settlePool(now, r, a)
 	if a.pending != nil || a.plan != nil {
 		// A newer version settles the unknown write: it either shows in the
 		// row or can no longer take effect.
@@ -215,7 +218,9 @@
 		k.mu.Unlock()
 		return
 	}
+	k.settlePool(now, r, a)
 	k.lower(a, next)
+	k.settlePool(now, r, a)
 	if !k.mayWrite(a, next, now) {
 		k.mu.Unlock()
 		return
@@ -230,7 +235,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.epoch == epoch {
+		k.settlePool(now, r, a)
 		k.settle(a, next, w, err, now)
+		k.settlePool(now, r, a)
 	}
 }
 
@@ -242,7 +249,9 @@
 	if before.Fits(after) {
 		return true
 	}
-	return now >= k.adopting && a.debts.lent(now).Fits(after)
+	lent := a.debts.lent(now)
+	lent.Burst += a.debts.flying()
+	return now >= k.adopting && lent.Fits(after)
 }
 
 // lower stops the use of what a row is about to lose, before the commit.
@@ -328,31 +337,29 @@
 	}
 }
 
-// propose plans a transfer to the domain whose hosts have borrowed or
-// lacked the most for the time Sustain. The two amounts are divided
-// max-min fairly by the wants of both domains.
+// propose plans a transfer to the domain whose hosts want the most from
+// this one. The two amounts are divided max-min fairly by the smoothed needs
+// of both domains.
 func (k *Keeper) propose(a *account, l Limit, now time.Duration) *transfer {
+	a.smooth(now, k.cfg)
 	own := a.row.Amounts[k.cfg.Domain]
-	if now < k.adopting || len(a.row.Parts) > 0 || own.Rate == 0 {
+	if now < k.adopting || now < a.moveAt || len(a.row.Parts) > 0 || own.Rate == 0 {
 		return nil
 	}
-	to, need := k.neediest(a, l, now)
-	if need == 0 || to != a.need {
-		a.need, a.needSince = to, now
-	}
-	if need == 0 || now-a.needSince < k.cfg.Sustain || now < a.moveAt {
+	to, need := a.neediest(l, k.cfg.Domain)
+	have, want := a.row.Amounts[to], int64(a.needs[k.cfg.Domain])
+	part := own.Rate - Divide(own.Rate+have.Rate, []int64{want, have.Rate + need})[0]
+	if need == 0 || part <= 0 {
 		return nil
 	}
-	have := a.row.Amounts[to]
-	hosts, _ := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
-	_, want := a.debts.wants(hosts, rateOf)
-	part := own.Rate - Divide(own.Rate+have.Rate, []int64{want, have.Rate + need})[0]
 	move := core.Amount{Rate: part, Burst: scale(own.Burst, part, own.Rate) / request * request}
 	if want < own.Rate {
 		// Only what is not lent moves, so that borrowers see no gap; their
 		// loans become free for the next transfer once they hold the moved
 		// part from their own domain.
-		free := own.Sub(a.debts.lent(now)).Max(core.Amount{})
+		free := own.Sub(a.debts.lent(now))
+		free.Burst -= a.debts.flying()
+		free = free.Max(core.Amount{})
 		move = move.Min(core.Amount{Rate: free.Rate * 3 / 4, Burst: free.Burst * 3 / 4 / request * request})
 	}
 	if move.Rate*16 < own.Rate {
@@ -361,16 +368,35 @@
 	return &transfer{to: to, part: move, since: now}
 }
 
+// smooth updates the smoothed needs.
+func (a *account) smooth(now time.Duration, cfg KeeperConfig) {
+	wants := make(map[core.DomainID]float64)
+	own, foreign := a.debts.active(now, cfg.Length/2, cfg.Domain)
+	for _, b := range append(own, foreign...) {
+		wants[a.debts[b].domain] += float64(a.debts[b].want.Rate)
+	}
+	if a.needs == nil {
+		a.needs, a.needsAt = make(map[core.DomainID]float64), now
+	}
+	keep := math.Exp(-(now - a.needsAt).Seconds() / cfg.Sustain.Seconds())
+	a.needsAt = now
+	for d, need := range a.needs {
+		a.needs[d] = need * keep
+		if a.needs[d] < 1 {
+			delete(a.needs, d)
+		}
+	}
+	for d, want := range wants {
+		a.needs[d] += want * (1 - keep)
+	}
+}
+
 // neediest returns the domain of the limit whose hosts want the most from
 // this one.
-func (k *Keeper) neediest(a *account, l Limit, now time.Duration) (to core.DomainID, need int64) {
-	_, foreign := a.debts.active(now, k.cfg.Length/2, k.cfg.Domain)
-	needs := make(map[core.DomainID]int64)
-	for _, b := range foreign {
-		d := a.debts[b].domain
-		needs[d] += a.debts[b].want.Rate
-		if l.has(d) && needs[d] > need {
-			to, need = d, needs[d]
+func (a *account) neediest(l Limit, domain core.DomainID) (to core.DomainID, need int64) {
+	for _, d := range l.Domains {
+		if n := int64(a.needs[d]); d != domain && n > need {
+			to, need = d, n
 		}
 	}
 	return to, need
