--- a/core/rates/bucket.go
+++ b/core/rates/bucket.go
@@ -140,13 +140,13 @@
 // that a flood of requests does not become a flood of asks.
 const needGap = 100 * time.Millisecond
 
-// lack returns the tokens to ask for, up to the burst, or zero if it is too
-// early to ask again.
+// lack returns the tokens to ask for, or zero if it is too early to ask
+// again.
 func (b *bucket) lack(now time.Duration, weight int64) int64 {
 	if now < b.needAt {
 		return 0
 	}
-	lack := min(b.queued+weight, b.burst) - b.tokens
+	lack := b.queued + weight - b.tokens
 	if lack > 0 {
 		b.needAt = now + needGap
 	}
--- a/core/rates/demand.go
+++ b/core/rates/demand.go
@@ -7,9 +7,9 @@
 	"azurering/core"
 )
 
-// The estimate of a demand follows a rise within about two seconds, so that
-// the loans grow before the burst is spent, and a fall more slowly, so that
-// random quiet seconds do not move loans. A resource without requests for
+// The estimate of a demand follows a rise beyond random variation within
+// about two seconds, so that the loans grow before the burst is spent, and
+// all else more slowly, so that random variation does not move loans. A resource without requests for
 // idleAfter is no longer asked for.
 const (
 	riseTime  = 1500 * time.Millisecond
@@ -41,7 +41,9 @@
 	}
 	sample := float64(d.offered) / dt.Seconds()
 	tau := fallTime
-	if sample > d.rate {
+	// Twice the standard deviation of random arrivals at the present rate.
+	noise := 2 * math.Sqrt(max(d.rate, float64(Request))*float64(Request)/dt.Seconds())
+	if sample > d.rate+noise {
 		tau = riseTime
 	}
 	d.rate += (sample - d.rate) * (1 - math.Exp(-dt.Seconds()/tau.Seconds()))
--- a/core/rates/limiter.go
+++ b/core/rates/limiter.go
@@ -136,18 +136,24 @@
 	}
 }
 
-// AddTokens adds tokens that a lender gave, up to the burst. It fits
-// share.HolderConfig.Tokens.
+// AddTokens adds tokens that a lender gave. Waiting requests get them first;
+// what then is above the burst is dropped, because the lender reserves room
+// for it only until the next ask. It fits share.HolderConfig.Tokens.
 func (l *Limiter) AddTokens(now time.Duration, r core.Resource, tokens int64) {
 	b := l.index.Load().resources[r]
 	if b == nil || tokens <= 0 {
 		return
 	}
+	l.queueMu.Lock()
+	defer l.queueMu.Unlock()
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.refill(now)
 	b.tokens += tokens
+	b.mu.Unlock()
+	l.pump(now)
+	b.mu.Lock()
 	b.clamp()
+	b.mu.Unlock()
 }
 
 // need asks the lender for the tokens that a resource lacks.
--- a/core/rates/wait.go
+++ b/core/rates/wait.go
@@ -33,41 +33,55 @@
 	}
 	bound = min(bound, l.cfg.MaxWait)
 	t := &Ticket{bucket: b, weight: weight, deadline: now + bound, done: make(chan error, 1)}
+	bare, lack, err := l.enqueue(now, t, bound)
+	// The lender may be calling this limiter, so it is called without locks.
+	if bare {
+		l.want(b.resource, b.wanted())
+	}
+	l.need(b.resource, lack)
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// enqueue decides about a new ticket. It returns whether there is no loan
+// and which tokens to ask for.
+func (l *Limiter) enqueue(now time.Duration, t *Ticket, bound time.Duration) (bare bool, lack int64, err error) {
+	b := t.bucket
 	l.queueMu.Lock()
 	defer l.queueMu.Unlock()
 	b.mu.Lock()
-	b.demand.offer(now, weight)
-	if b.queued == 0 && (l.cfg.Gate == nil || l.cfg.Gate()) && b.take(now, weight) {
+	b.demand.offer(now, t.weight)
+	if b.queued == 0 && (l.cfg.Gate == nil || l.cfg.Gate()) && b.take(now, t.weight) {
 		b.mu.Unlock()
 		t.done <- nil
-		return t, nil
+		return false, 0, nil
 	}
-	after := b.until(weight, b.queued)
-	bare, lack := b.burst == 0, int64(0)
+	after := b.until(t.weight, b.queued)
 	if after > bound/4 {
-		lack = b.lack(now, weight)
+		lack = b.lack(now, t.weight)
 	}
+	bare = b.burst == 0
 	// Beyond what the loans can admit in time, as much as the burst waits
 	// for tokens or loans that the lender may give: an ask is answered well
 	// within the wait.
-	if after > bound && b.queued+weight > max(b.burst, 2*Request) {
+	if after > bound && b.queued+t.weight > max(b.burst, waitAtLeast) {
 		refusal := l.refuse(b, after)
 		b.mu.Unlock()
-		l.need(b.resource, lack)
-		return nil, refusal
+		return bare, lack, refusal
 	}
-	b.queued += weight
+	b.queued += t.weight
 	b.mu.Unlock()
-	if bare {
-		l.want(b.resource, b.wanted())
-	}
-	l.need(b.resource, lack)
-	if dropped := l.queue.Push(w, weight, t); dropped != nil {
+	if dropped := l.queue.Push(b.name, t.weight, t); dropped != nil {
 		l.drop(dropped.(*Ticket), codes.QueueFull)
 	}
-	return t, nil
+	return bare, lack, nil
 }
 
+// waitAtLeast is the weight that may wait for tokens whatever the loans are.
+const waitAtLeast = 4 * Request
+
 func (l *Limiter) drop(t *Ticket, code codes.Code) {
 	b := t.bucket
 	b.mu.Lock()
@@ -86,6 +100,10 @@
 func (l *Limiter) Pump(now time.Duration) {
 	l.queueMu.Lock()
 	defer l.queueMu.Unlock()
+	l.pump(now)
+}
+
+func (l *Limiter) pump(now time.Duration) {
 	if l.queue.Len() == 0 {
 		return
 	}
--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -41,7 +41,7 @@
 	// Renew is the time between two asks to a lender. Zero means 3 s.
 	Renew time.Duration
 	// Gap is the shortest time between two asks to a lender. Zero means
-	// 200 ms.
+	// 100 ms.
 	Gap time.Duration
 	// Timeout bounds one ask. Zero means 1 s.
 	Timeout time.Duration
@@ -111,7 +111,7 @@
 // about every 100 ms, or Run.
 func NewHolder(cfg HolderConfig) *Holder {
 	setDefault(&cfg.Renew, 3*time.Second)
-	setDefault(&cfg.Gap, 200*time.Millisecond)
+	setDefault(&cfg.Gap, 100*time.Millisecond)
 	setDefault(&cfg.Timeout, time.Second)
 	return &Holder{
 		cfg:     cfg,
@@ -143,7 +143,7 @@
 	h.wants[r] = want
 	held := Sum(h.loans[r], now)
 	told := h.asked[r]
-	short := held.Rate < want.Rate || held.Slots < want.Slots
+	short := held.Rate < want.Rate-small(want.Rate) || held.Slots < want.Slots
 	grown := want.Rate*8 > told.Rate*9 || want.Slots > told.Slots
 	if short && grown {
 		h.hurry()
@@ -248,7 +248,7 @@
 // short reports whether some loans are below the need.
 func (h *Holder) short(now time.Duration) bool {
 	for r, want := range h.wants {
-		if held := Sum(h.loans[r], now); held.Rate < want.Rate || held.Slots < want.Slots {
+		if held := Sum(h.loans[r], now); held.Rate < want.Rate-small(want.Rate) || held.Slots < want.Slots {
 			return true
 		}
 	}
@@ -336,6 +336,9 @@
 	h.fails++
 	if h.fails >= len(list) {
 		h.fails = 0
+		for r := range h.lacks {
+			h.dry[r] = h.cfg.Timer.Now() + h.cfg.Renew/3
+		}
 		clear(h.lacks)
 		h.pause = h.cfg.Timer.Now() + h.cfg.Renew
 	}
@@ -400,6 +403,9 @@
 // buckets make up for it.
 const slack = request / 2
 
+// small returns how much of a need the seat holder may keep in its bucket.
+func small(need int64) int64 { return need - pooled(need) }
+
 // lack returns the rate that the loans are short of, negative if they are
 // more than is wanted. Loans between the need and a third more are left as
 // they are: other domains keep what they do not need for those that are
@@ -413,7 +419,7 @@
 		return -held.Rate
 	case held.Burst < h.wants[r].Burst:
 		return max(need-held.Rate, need/8, 1)
-	case held.Rate < need+need/16-slack:
+	case held.Rate < need+need/16-slack-small(need):
 		return need + need/5 - held.Rate
 	case held.Rate > need+need/3+slack:
 		return need + need/3 - held.Rate
@@ -461,15 +467,15 @@
 // sent notes what an ask tells. An ask for tokens alone does not put off
 // the next renewal.
 func (h *Holder) sent(d core.DomainID, l *lender, items []core.LoanItem, now time.Duration) {
-	whole := true
+	tokens := now < l.next
 	for _, item := range items {
-		whole = whole && item.Short == 0
+		tokens = tokens && item.Short > 0
 		if d == h.cfg.Domain {
 			delete(h.moved, item.Resource)
 			delete(h.shorts, item.Resource)
 		}
 	}
-	if whole || now >= l.next {
+	if !tokens {
 		l.urgent, l.next = false, now+h.cfg.Renew
 	}
 }
@@ -543,7 +549,7 @@
 		h.cfg.Tokens(now, item.Resource, tokens)
 	}
 	left := item.Short - tokens
-	if d == h.cfg.Domain && tokens == 0 {
+	if d == h.cfg.Domain && tokens == 0 && h.cfg.Lenders == nil {
 		h.dry[item.Resource] = now + h.cfg.Renew/3
 	}
 	if left > 0 && h.cfg.Lenders != nil {
--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -273,6 +273,9 @@
 	d.amount = held.Max(amount)
 	k.settlePool(now, item.Resource, a)
 	d.flying = a.pool.dole(item.Short, domain != k.cfg.Domain)
+	if DEBUG != nil && item.Short > 0 {
+		DEBUG(now, k.cfg.Domain, b.host, item, d.flying, a.pool, held, amount)
+	}
 	return core.Loan{Resource: item.Resource, Amount: amount, Tokens: d.flying}
 }
 
@@ -308,7 +311,7 @@
 // keeps reports whether a loan stays as it is because the target differs by
 // less than an eighth. Each shrinking of a loan loses tokens.
 func keeps(held, target, want core.Amount) bool {
-	if held.Slots != target.Slots || held.Rate < want.Rate || target.Rate == 0 {
+	if held.Slots != target.Slots || held.Rate < pooled(want.Rate) || target.Rate == 0 {
 		return false
 	}
 	near := func(a, b int64) bool { return max(a-b, b-a) < max(a/8, slack) }
@@ -389,3 +392,5 @@
 		}
 	}
 }
+
+var DEBUG func(a ...any)
--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -104,7 +104,7 @@
 func (l ledger) target(now, within time.Duration, usable core.Amount, b borrower, domain core.DomainID) core.Amount {
 	own, foreign := l.active(now, within, domain)
 	t := core.Amount{
-		Rate:  l.part(usable.Rate, own, foreign, b, rateOf),
+		Rate:  pooled(l.part(usable.Rate, own, foreign, b, rateOf)),
 		Slots: l.part(usable.Slots, own, nil, b, slotsOf),
 	}
 	// The other half of the burst is the keeper's bucket, from which hosts
@@ -117,6 +117,16 @@
 	return t
 }
 
+// pooled returns what is lent of a host's part. The smaller the part, the
+// more of it stays in the keeper's bucket: a host with few requests per
+// second would leave tokens unused while another refuses.
+func pooled(part int64) int64 {
+	return scale(part, part, part+poolBelow)
+}
+
+// poolBelow is the rate of which half is lent.
+const poolBelow = 2 * request
+
 func (l ledger) part(usable int64, own, foreign []borrower, b borrower, part func(core.Amount) int64) int64 {
 	needs, _ := l.wants(own, part)
 	parts, left := Meet(usable, needs)
