--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -34,7 +34,7 @@
 	// transfers. Zero means 10 s.
 	Sustain time.Duration
 	// Interval is the shortest time between two transfers of a resource by
-	// this domain. Zero means 30 s.
+	// this domain. Zero means 60 s.
 	Interval time.Duration
 	// Refresh is the time between two reads of all rows. Zero means 60 s.
 	Refresh time.Duration
@@ -45,7 +45,7 @@
 func (c KeeperConfig) withDefaults() KeeperConfig {
 	setDefault(&c.Length, 12*time.Second)
 	setDefault(&c.Sustain, 10*time.Second)
-	setDefault(&c.Interval, 30*time.Second)
+	setDefault(&c.Interval, time.Minute)
 	setDefault(&c.Refresh, time.Minute)
 	if c.Commits <= 0 {
 		c.Commits = 2
--- a/core/share/rows.go
+++ b/core/share/rows.go
@@ -362,12 +362,24 @@
 		free = free.Max(core.Amount{})
 		move = move.Min(core.Amount{Rate: free.Rate * 3 / 4, Burst: free.Burst * 3 / 4 / request * request})
 	}
-	if move.Rate*16 < own.Rate {
+	move.Rate = min(move.Rate, own.Rate-keepAtLeast(l, k.cfg.Domain))
+	if move.Rate < max(own.Rate/8, request) {
 		return nil
 	}
 	return &transfer{to: to, part: move, since: now}
 }
 
+// keepAtLeast returns the rate below which a domain transfers nothing: three
+// quarters of an equal part. Loans move what is needed elsewhere within
+// seconds and come back when the domain is cut off; a transferred amount does
+// not. A domain outside the limit keeps nothing.
+func keepAtLeast(l Limit, d core.DomainID) int64 {
+	if !l.has(d) {
+		return 0
+	}
+	return l.Amount.Rate / int64(len(l.Domains)) * 3 / 4
+}
+
 // smooth updates the smoothed needs.
 func (a *account) smooth(now time.Duration, cfg KeeperConfig) {
 	wants := make(map[core.DomainID]float64)
