--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -273,9 +273,6 @@
 	d.amount = held.Max(amount)
 	k.settlePool(now, item.Resource, a)
 	d.flying = a.pool.dole(item.Short, domain != k.cfg.Domain)
-	if DEBUG != nil && item.Short > 0 {
-		DEBUG(now, k.cfg.Domain, b.host, item, d.flying, a.pool, held, amount)
-	}
 	return core.Loan{Resource: item.Resource, Amount: amount, Tokens: d.flying}
 }
 
@@ -392,5 +389,3 @@
 		}
 	}
 }
-
-var DEBUG func(a ...any)
--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -104,9 +104,12 @@
 func (l ledger) target(now, within time.Duration, usable core.Amount, b borrower, domain core.DomainID) core.Amount {
 	own, foreign := l.active(now, within, domain)
 	t := core.Amount{
-		Rate:  pooled(l.part(usable.Rate, own, foreign, b, rateOf)),
+		Rate:  l.part(usable.Rate, own, foreign, b, rateOf),
 		Slots: l.part(usable.Slots, own, nil, b, slotsOf),
 	}
+	if l.bursts(own) <= usable.Burst-poolBurst {
+		t.Rate = pooled(t.Rate)
+	}
 	// The other half of the burst is the keeper's bucket, from which hosts
 	// get tokens at once when they are short.
 	t.Burst = scale(usable.Burst, t.Rate, usable.Rate) / 2
@@ -124,6 +127,19 @@
 	return scale(part, part, part+poolBelow)
 }
 
+// bursts returns the sum of the smallest useful bursts of borrowers.
+func (l ledger) bursts(list []borrower) int64 {
+	var sum int64
+	for _, b := range list {
+		sum += l[b].want.Burst
+	}
+	return sum
+}
+
+// poolBurst is the burst that the keeper's bucket needs to be of use. With
+// less, all of a host's part is lent.
+const poolBurst = 2 * request
+
 // poolBelow is the rate of which half is lent.
 const poolBelow = 2 * request
 
