--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -125,6 +125,7 @@
 	needsAt time.Duration
 	movedTo core.DomainID // receiver of the last transfer
 	movedAt time.Duration
+	absent  bool
 	missing time.Duration // when the row was found to be missing
 }
 
--- a/core/share/rows.go
+++ b/core/share/rows.go
@@ -117,7 +117,7 @@
 		// row or can no longer take effect.
 		a.pending, a.plan, a.floor = nil, nil, nil
 	}
-	a.row, a.ver, a.token, a.known, a.missing = decoded, row.Version, row.Token, true, 0
+	a.row, a.ver, a.token, a.known, a.absent = decoded, row.Version, row.Token, true, false
 	a.readGap, a.readAt = shortGap, now+shortGap
 	return true
 }
@@ -177,7 +177,7 @@
 	}
 	for _, w := range writes {
 		a := k.account(core.Resource(w.Key))
-		a.row, a.ver, a.token, a.known, a.missing = rows[core.Resource(w.Key)], 1, w.Token, true, 0
+		a.row, a.ver, a.token, a.known, a.absent = rows[core.Resource(w.Key)], 1, w.Token, true, false
 	}
 }
 
@@ -191,8 +191,8 @@
 		if a.known || rank < 0 {
 			continue
 		}
-		if a.missing == 0 {
-			a.missing = max(now, 1)
+		if !a.absent {
+			a.absent, a.missing = true, now
 		}
 		if now < a.missing+time.Duration(min(rank, 10))*createDelay {
 			waiting = true
