--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -22,6 +22,9 @@
 	until  time.Duration
 	want   core.Amount
 	asked  time.Duration
+	// flying are tokens that were given in the last answer. They count
+	// until the next ask shows that the answer arrived or never will.
+	flying int64
 }
 
 // ledger holds the debts of one resource.
@@ -36,7 +39,7 @@
 			sum = sum.Add(d.amount)
 			continue
 		}
-		d.amount = core.Amount{}
+		d.amount, d.flying = core.Amount{}, 0
 		if now-d.asked > time.Minute {
 			delete(l, b)
 		}
@@ -44,6 +47,16 @@
 	return sum
 }
 
+// flying returns the tokens that may be on their way. It is called after
+// lent.
+func (l ledger) flying() int64 {
+	var sum int64
+	for _, d := range l {
+		sum += d.flying
+	}
+	return sum
+}
+
 // active lists the borrowers that asked lately, in a fixed order, those of
 // the domain first.
 func (l ledger) active(now, within time.Duration, domain core.DomainID) (own, foreign []borrower) {
@@ -94,14 +107,42 @@
 		Rate:  l.part(usable.Rate, own, foreign, b, rateOf),
 		Slots: l.part(usable.Slots, own, nil, b, slotsOf),
 	}
-	t.Burst = scale(usable.Burst, t.Rate, usable.Rate)
+	if l.bursts(own) <= usable.Burst-poolBurst {
+		t.Rate = pooled(t.Rate)
+	}
+	// The other half of the burst is the keeper's bucket, from which hosts
+	// get tokens at once when they are short.
+	t.Burst = scale(usable.Burst, t.Rate, usable.Rate) / 2
 	if t.Rate > 0 {
 		// A burst below the largest request admits nothing.
-		t.Burst = max(t.Burst, l[b].want.Burst, request)
+		t.Burst = max(t.Burst, l[b].want.Burst)
 	}
 	return t
 }
 
+// pooled returns what is lent of a host's part. The smaller the part, the
+// more of it stays in the keeper's bucket: a host with few requests per
+// second would leave tokens unused while another refuses.
+func pooled(part int64) int64 {
+	return scale(part, part, part+poolBelow)
+}
+
+// bursts returns the sum of the smallest useful bursts of borrowers.
+func (l ledger) bursts(list []borrower) int64 {
+	var sum int64
+	for _, b := range list {
+		sum += l[b].want.Burst
+	}
+	return sum
+}
+
+// poolBurst is the burst that the keeper's bucket needs to be of use. With
+// less, all of a host's part is lent.
+const poolBurst = 2 * request
+
+// poolBelow is the rate of which half is lent.
+const poolBelow = 2 * request
+
 func (l ledger) part(usable int64, own, foreign []borrower, b borrower, part func(core.Amount) int64) int64 {
 	needs, _ := l.wants(own, part)
 	parts, left := Meet(usable, needs)
