entry: pass on tokens that seat holders give; wire: carry them

Cause: the keeper now keeps a part of each rate in a bucket of its own, but the entry host did not take in the tokens it gives.

--- a/app/entry/limits.go
+++ b/app/entry/limits.go
@@ -80,7 +80,8 @@
 			}
 			d.Limiter.SetLoans(now, r, parts)
 		},
-		InUse: d.Slots.inUse, Renew: d.Settings.Loan / 4,
+		Tokens: d.Limiter.AddTokens,
+		InUse:  d.Slots.inUse, Renew: d.Settings.Loan / 4,
 	})
 }
 
--- a/io/wire/loan.go
+++ b/io/wire/loan.go
@@ -19,6 +19,7 @@
 	Held     amountWire
 	Want     amountWire
 	Moved    bool
+	Short    int64
 }
 
 type loanAskWire struct {
@@ -34,6 +35,7 @@
 	_        struct{} `cbor:",toarray"`
 	Resource core.Resource
 	Amount   amountWire
+	Tokens   int64
 	Moved    bool
 }
 
@@ -55,7 +57,7 @@
 func packLoanAsk(m core.LoanAsk) body {
 	w := &loanAskWire{Host: m.Host, Incarnation: m.Incarnation, Seq: m.Seq, Epoch: m.Epoch}
 	for _, i := range m.Items {
-		w.Items = append(w.Items, loanItemWire{Resource: i.Resource, Held: packAmount(i.Held), Want: packAmount(i.Want), Moved: i.Moved})
+		w.Items = append(w.Items, loanItemWire{Resource: i.Resource, Held: packAmount(i.Held), Want: packAmount(i.Want), Moved: i.Moved, Short: i.Short})
 	}
 	return w
 }
@@ -63,7 +65,7 @@
 func (w *loanAskWire) message() (core.Message, error) {
 	m := core.LoanAsk{Host: w.Host, Incarnation: w.Incarnation, Seq: w.Seq, Epoch: w.Epoch}
 	for _, i := range w.Items {
-		m.Items = append(m.Items, core.LoanItem{Resource: i.Resource, Held: i.Held.amount(), Want: i.Want.amount(), Moved: i.Moved})
+		m.Items = append(m.Items, core.LoanItem{Resource: i.Resource, Held: i.Held.amount(), Want: i.Want.amount(), Moved: i.Moved, Short: i.Short})
 	}
 	return m, nil
 }
@@ -71,7 +73,7 @@
 func packLoanGrant(m core.LoanGrant) (body, error) {
 	w := &loanGrantWire{Epoch: m.Epoch, Length: m.Length}
 	for _, l := range m.Loans {
-		w.Loans = append(w.Loans, loanWire{Resource: l.Resource, Amount: packAmount(l.Amount), Moved: l.Moved})
+		w.Loans = append(w.Loans, loanWire{Resource: l.Resource, Amount: packAmount(l.Amount), Tokens: l.Tokens, Moved: l.Moved})
 	}
 	return w, notNegative("loan length", m.Length)
 }
@@ -79,7 +81,7 @@
 func (w *loanGrantWire) message() (core.Message, error) {
 	m := core.LoanGrant{Epoch: w.Epoch, Length: w.Length}
 	for _, l := range w.Loans {
-		m.Loans = append(m.Loans, core.Loan{Resource: l.Resource, Amount: l.Amount.amount(), Moved: l.Moved})
+		m.Loans = append(m.Loans, core.Loan{Resource: l.Resource, Amount: l.Amount.amount(), Tokens: l.Tokens, Moved: l.Moved})
 	}
 	return m, notNegative("loan length", w.Length)
 }
