member: choose neighbours again when hosts are confirmed

Cause: neighbours were chosen only when a host was added or died. A host known from the list is not confirmed at first, so a fleet that started from the list kept fewer than four neighbours, some hosts none; the tests passed on the slow repair. Two more faults showed in larger trials: on lossy links every refuted suspicion was passed on to everyone, and after a partition some views kept wrong verdicts until the repair reached them.

Change: any change of state chooses the neighbours again. A higher incarnation alone is passed on only if the host itself asks for it. A heartbeat carries up to 24 changes, twice as many.

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -27,7 +27,7 @@
 // transfer is the whole view on its way to a joining host.
 type transfer struct {
 	next, left int
-	size       int // members when the transfer began
+	epoch      int // of the view when the transfer began
 }
 
 // limit is how many heartbeats carry one change. A change reaches all hosts
@@ -151,7 +151,7 @@
 		return
 	}
 	t := g.sync[h.Name]
-	if t != nil && (t.left > 0 || t.size == len(g.order)) {
+	if t != nil && (t.left > 0 || t.epoch == g.epoch) {
 		return
 	}
 	// Helpers start at different places, so that together they cover the
@@ -160,7 +160,7 @@
 	if len(g.order) > 0 {
 		start = g.random.IntN(len(g.order))
 	}
-	g.sync[h.Name] = &transfer{next: start, left: len(g.order), size: len(g.order)}
+	g.sync[h.Name] = &transfer{next: start, left: len(g.order), epoch: g.epoch}
 }
 
 func (g *Group) suspicions(to core.HostID) []core.Suspicion {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -49,7 +49,7 @@
 	// is in another domain.
 	Near  int
 	Links int
-	// Changes bounds the recent changes in one heartbeat, 12 by default.
+	// Changes bounds the recent changes in one heartbeat, 24 by default.
 	Changes int
 	// Window bounds the members in one heartbeat to a joining host, 64 by
 	// default.
@@ -75,7 +75,7 @@
 	}
 	count(&c.Near, 3)
 	count(&c.Links, c.Near+1)
-	count(&c.Changes, 12)
+	count(&c.Changes, 24)
 	count(&c.Window, 64)
 	if c.Self.State == "" {
 		c.Self.State = core.HostLive
@@ -111,6 +111,7 @@
 	// order lists all peers for full transfers and for the slow repair of
 	// lost changes.
 	order   []*peer
+	epoch   int // counts changes of state
 	domains map[core.DomainID][]*peer
 	tombs   map[core.HostID]tomb
 
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -29,6 +29,11 @@
 		took := f.settle(all, 40)
 		t.Logf("%d hosts in %d domains: %d s", size[0]*size[1], size[0], took)
 		require.Less(t, took, 40, "%v", size)
+		f.run(10)
+		for _, n := range f.nodes {
+			beats := n.group.Tick(f.timer.Now() + time.Second).Beats
+			require.GreaterOrEqual(t, len(beats), min(4, len(f.nodes)-1), "%s lacks neighbours", n.name)
+		}
 	}
 }
 
@@ -78,6 +83,20 @@
 	}
 }
 
+// Guards against views that stay split in a fleet in which most hosts don't
+// contact each other.
+func TestLargerPartitionHeals(t *testing.T) {
+	f := newFleet(t, 10, 12, 3)
+	f.run(60)
+	side := func(n *node) bool { return n.domain < "domain-05" }
+	f.cut = func(a, b *node) bool { return side(a) != side(b) }
+	f.run(100)
+	f.cut = func(_, _ *node) bool { return false }
+	took := f.settle(all, 60)
+	t.Logf("120 hosts cut in halves: healed in %d s", took)
+	require.Less(t, took, 30)
+}
+
 // Guards against a host that misses what happened during its long pause,
 // against a death that only the observers learn, and against a newcomer that
 // learns only about those it talks to.
@@ -183,6 +202,75 @@
 		g.Merge(at(1), "y", []core.Host{{Name: "me", Domain: "kushiro", Incarnation: 8, State: core.HostDead}})
 		require.Equal(t, uint64(9), g.Self().Incarnation)
 	})
+	t.Run("refutation stays near", func(t *testing.T) {
+		g := view()
+		for range 8 {
+			g.Beat(0, "z")
+		}
+		pass(g, 1, 40, x, y) // until the host has joined
+		newer := x
+		newer.Incarnation = 6
+		g.Merge(at(40), "y", []core.Host{newer})
+		told := 0
+		for range 4 {
+			for _, h := range g.Beat(at(40), "z").Members {
+				told += btoi(h.Name == "x")
+			}
+		}
+		require.LessOrEqual(t, told, 1, "an incarnation alone is not passed on, but for the slow repair")
+	})
+	t.Run("recruited observer", func(t *testing.T) {
+		names := staticFleet(10, 2)
+		g := member.New(member.Config{Self: names[0]})
+		g.Merge(0, "", names)
+		near := make(map[core.HostID]bool)
+		for _, h := range g.Tick(0).Beats {
+			near[h.Name] = true
+		}
+		silent := names[19]
+		for i := 1; near[silent.Name]; i++ {
+			silent = names[19-i]
+		}
+		own := core.Suspicion{Host: silent.Name, Incarnation: 1, By: names[0].Name}
+		for s := 1; s <= 11; s++ {
+			for _, h := range names[1:] {
+				if near[h.Name] {
+					g.Heard(at(s), h)
+				}
+			}
+			if s >= 6 {
+				g.Suspected(at(s), "witness", []core.Suspicion{{Host: silent.Name, Incarnation: 1, By: "witness"}})
+			}
+			g.Tick(at(s))
+			if s == 7 {
+				require.NotContains(t, g.Beat(at(s), "z").Suspects, own)
+			}
+		}
+		require.Contains(t, g.Beat(at(11), "z").Suspects, own, "a host that hears of a suspicion observes the suspect itself")
+	})
+	t.Run("second transfer", func(t *testing.T) {
+		g := view()
+		pass(g, 1, 40, x, y)
+		joiner := core.Beat{Host: core.Host{Name: "z", Domain: "esashi", State: core.HostLive}, Joining: true}
+		g.Receive(at(41), joiner)
+		for range 12 {
+			g.Beat(at(41), "z")
+		}
+		g.Merge(at(42), "y", []core.Host{{Name: "new", Domain: "esashi", Incarnation: 1, State: core.HostLive}})
+		g.Receive(at(42), joiner)
+		require.Contains(t, g.Beat(at(42), "z").Members, y, "a joining host gets a changed view again")
+	})
+	t.Run("partition over", func(t *testing.T) {
+		g := view()
+		pass(g, 1, 70, x, y)
+		pass(g, 71, 75, y)
+		g.Suspected(at(75), "y", []core.Suspicion{{Host: "x", Incarnation: 5, By: "y"}})
+		pass(g, 76, 80, y)
+		require.Equal(t, core.HostDead, state(g, "x"))
+		require.False(t, g.Beat(at(80), "y").Joining)
+		g.Heard(at(80), x)
+		require.True(t, g.Beat(at(80), "y").Joining, "a wrong verdict casts doubt on the others")
+	})
 	t.Run("own cut", func(t *testing.T) {
 		g := view()
 		pass(g, 1, 10, y)
@@ -441,3 +529,10 @@
 		}
 	})
 }
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/core/member/peer.go
+++ b/core/member/peer.go
@@ -98,10 +98,10 @@
 	was := p.host.State
 	p.host.State = state
 	g.changes = append(g.changes, Change{Host: p.host, Was: was})
+	g.epoch++
 	g.lost = nil
-	if was == core.HostDead || state == core.HostDead || was == "" {
-		g.stale = true
-	}
+	// Neighbours are chosen among confirmed hosts that are not dead.
+	g.stale = true
 }
 
 func (g *Group) state(now time.Duration, p *peer) core.HostState {
@@ -185,6 +185,11 @@
 		}
 		delete(g.tombs, h.Name)
 	}
+	if p.dead && p.verified && h.Incarnation <= p.host.Incarnation+1 && now-g.joinFrom >= g.cfg.Recent {
+		// The same run of a host declared dead: a partition has ended, and
+		// other verdicts may be as wrong as this one.
+		g.rejoin(now)
+	}
 	p.heard, p.direct, p.last = now, true, h.Incarnation
 	delete(p.votes, g.self.Name)
 	if h.Incarnation >= p.host.Incarnation {
@@ -204,7 +209,7 @@
 
 // Merge takes in membership changes passed on by another host. A host that
 // lists itself asks that its entry be passed on.
-func (g *Group) Merge(now time.Duration, _ core.HostID, hosts []core.Host) {
+func (g *Group) Merge(now time.Duration, from core.HostID, hosts []core.Host) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range hosts {
@@ -215,7 +220,7 @@
 		case h.State == core.HostDead:
 			g.mergeDead(now, h)
 		case h.State == core.HostLive || h.State == core.HostLeaving:
-			g.mergeLive(now, h)
+			g.mergeLive(now, h, h.Name == from)
 		}
 	}
 }
@@ -241,7 +246,8 @@
 		return
 	}
 	if p.dead {
-		p.verified = true
+		// After a partition both sides repeat their verdicts for a while.
+		p.verified = p.verified || !g.joining(now)
 		return
 	}
 	if p.claimed && p.claim >= h.Incarnation {
@@ -258,7 +264,7 @@
 	g.settle(now, p)
 }
 
-func (g *Group) mergeLive(now time.Duration, h core.Host) {
+func (g *Group) mergeLive(now time.Duration, h core.Host, own bool) {
 	p := g.peers[h.Name]
 	if p == nil {
 		if t, ok := g.tombs[h.Name]; ok && t.incarnation >= h.Incarnation {
@@ -275,7 +281,9 @@
 		if p.claimed && h.Incarnation <= p.claim {
 			return
 		}
-		if g.adopt(now, p, h) || newer {
+		// A higher incarnation alone is passed on only if the host asks for
+		// it: on lossy links suspicions are refuted all the time.
+		if g.adopt(now, p, h) || newer && own {
 			g.relay(now, h.Name)
 		}
 	}
