bench: measure how changes spread and what control traffic costs

Cause: docs/CAPACITY.md needs slopes of messages, bytes and store calls.

Change: package bench runs the control parts of up to 300 entry hosts over in-memory fakes in virtual time with a fixed seed, counts messages as io/wire encodes them and store calls per role, and prints Markdown tables.

--- /dev/null
+++ b/bench/capac_test.go
@@ -0,0 +1,64 @@
+package bench_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"azurering/bench"
+)
+
+func full() bool { return os.Getenv("AZURERING_CAPACITY") != "" }
+
+func fleet(domains, perDomain int) bench.FleetConfig {
+	return bench.FleetConfig{Domains: domains, PerDomain: perDomain, Workspaces: 8, Servers: 8, Loss: 0.02, Seed: 7}
+}
+
+// Guards against changes that don't reach a host, and against pushes whose
+// cost per host grows with the number of hosts. With AZURERING_CAPACITY set
+// it prints the table of docs/CAPACITY.md.
+func TestCapacitySpread(t *testing.T) {
+	sizes, changes := [][2]int{{6, 2}, {6, 4}}, 4
+	if full() {
+		sizes, changes = [][2]int{{6, 2}, {10, 5}, {10, 10}, {20, 10}, {20, 15}}, 20
+	}
+	for _, peersOnly := range []bool{false, true} {
+		var results []bench.SpreadResult
+		for _, size := range sizes {
+			cfg := fleet(size[0], size[1])
+			cfg.PeersOnly = peersOnly
+			r, err := bench.Spread(cfg, changes)
+			require.NoError(t, err)
+			require.Equal(t, changes, r.Reached, "changes that every one of %d hosts got", r.Hosts)
+			results = append(results, r)
+			require.Less(t, r.Bytes, 1.5*results[0].Bytes, "bytes per host must not grow with the number of hosts")
+		}
+		t.Logf("peers only: %v\n%s", peersOnly, bench.SpreadTable(results))
+	}
+}
+
+// Guards against hosts that lose their freshness or a version in a quiet or
+// a changing fleet, and against heartbeats that grow with the fleet. With
+// AZURERING_CAPACITY set it prints the tables of docs/CAPACITY.md.
+func TestCapacityTraffic(t *testing.T) {
+	sizes, seconds := [][2]int{{6, 2}, {6, 4}}, 10
+	if full() {
+		sizes, seconds = [][2]int{{6, 2}, {6, 10}, {6, 50}, {20, 5}, {20, 15}, {54, 2}, {54, 5}}, 60
+	}
+	var results []bench.TrafficResult
+	for _, changing := range []bool{false, true} {
+		for _, size := range sizes {
+			cfg := fleet(size[0], size[1])
+			r, err := bench.Traffic(cfg, seconds, changing)
+			require.NoError(t, err)
+			require.Equal(t, cfg.Domains, r.Holders, "domains with an acting holder")
+			require.Equal(t, r.Hosts, r.Fresh, "fresh hosts")
+			require.Zero(t, r.Behind, "hosts without the newest version")
+			results = append(results, r)
+			require.Less(t, r.Sent["host"]["beat"].Bytes, 3*results[0].Sent["reader"]["beat"].Bytes, "bytes of heartbeats must not grow with the number of hosts")
+		}
+	}
+	t.Logf("messages\n%s", bench.TrafficTable(results))
+	t.Logf("store\n%s", bench.StoreTable(results))
+}
