entry: take a host out of service by the phases of core/drain, share drain counts

A drain of an entry host in the configuration had no effect, the seat was released from another goroutine than its ticks, and the progress of a drain counted only the asked host. The host now follows drain.Stop for planned drains and for the end of its process, and heartbeats carry the counts.

--- a/app/entry/beat.go
+++ b/app/entry/beat.go
@@ -31,6 +31,7 @@
 	state  *state
 	pools  *pools
 	steer  *steer.Steer
+	drains *drains
 	log    logrus.FieldLogger
 	behind *rings.Ring // of pull
 }
@@ -52,13 +53,14 @@
 	State *state
 	Pools *pools
 	Steer *steer.Steer
+	Drain *drains
 	Log   logrus.FieldLogger
 }
 
 func newBeater(d beaterDeps) *beater {
 	b := &beater{
 		self: d.Self, timer: d.Timer, peers: d.Peers, group: d.Group, dir: d.Dir, state: d.State,
-		pools: d.Pools, steer: d.Steer, log: d.Log,
+		pools: d.Pools, steer: d.Steer, drains: d.Drain, log: d.Log,
 		behind: rings.New(rings.Config{Name: "catch-up", Size: catchUpQueue}),
 	}
 	d.Peers.Handle(core.KindBeat, b.handle)
@@ -80,6 +82,7 @@
 	b.state.Evidence.Fill(now, &beat)
 	b.state.Keys.Fill(&beat)
 	beat.Loads = []core.Load{b.pools.load(now, b.self.Domain, len(b.group.Live(b.self.Domain)))}
+	beat.Drains = b.drains.own(now)
 	if to.Domain == b.self.Domain {
 		beat.Probes = b.pools.shared(now)
 	}
@@ -148,6 +151,7 @@
 	}
 	b.steer.Measure(now, "", 0, beat.Loads)
 	b.pools.learn(now, beat)
+	b.drains.take(now, beat)
 }
 
 // runCatchUp pulls from hosts that know more than this one.
--- a/app/entry/control.go
+++ b/app/entry/control.go
@@ -8,8 +8,8 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/drain"
 	"azurering/core/member"
-	"azurering/core/sheet"
 	"azurering/io/admin"
 )
 
@@ -113,9 +113,7 @@
 			out.Domains = append(out.Domains, c.domain(ctx, r.Name, d, out.Hosts))
 		}
 	}
-	for _, d := range current.Sheet.Drains {
-		out.Drains = append(out.Drains, c.drain(d))
-	}
+	out.Drains = c.beater.drains.report(c.beater.timer.Now(), c.group.Hosts())
 	for _, w := range current.Sheet.Workspaces {
 		out.Shares = append(out.Shares, c.share(w))
 	}
@@ -160,6 +158,7 @@
 	}
 	if b, ok := answer.(core.Beat); ok {
 		h.Reached, h.Version, h.Fresh = true, b.Version, b.StoreSeen
+		c.beater.drains.take(c.beater.timer.Now(), b)
 	}
 }
 
@@ -193,20 +192,6 @@
 	return out
 }
 
-func (c *Control) drain(d core.Drain) admin.DrainStatus {
-	out := admin.DrainStatus{Kind: d.Kind, Target: d.Target, Mode: d.Mode, Within: d.Within, Phase: "draining"}
-	s := c.state.Log.Current().Sheet
-	for _, v := range s.Servers {
-		if drainedServers(core.Sheet{Drains: []core.Drain{d}, Servers: s.Servers}, c.self.Domain)[v.Name] {
-			out.Left += c.pools.inFlight(v.Name)
-		}
-	}
-	if out.Left == 0 {
-		out.Phase = "drained"
-	}
-	return out
-}
-
 func (c *Control) share(w core.Workspace) admin.ShareStatus {
 	r := core.RateResource(w.Name)
 	out := admin.ShareStatus{
@@ -219,38 +204,18 @@
 	return out
 }
 
-// newGuard refuses drains and stops that would leave a service without any
-// server that takes new work.
-func newGuard() guard {
+// newGuard refuses drains, stops and shifts that would leave a service
+// without anything that can serve it.
+func newGuard(g *member.Group) guard {
 	return func(s core.Sheet, ch core.Change) error {
-		if ch.Kind != core.ChangeDrain {
+		state := drain.State{Sheet: &s, Hosts: g.Hosts()}
+		switch ch.Kind {
+		case core.ChangeDrain:
+			return drain.Check(state, ch.Drain)
+		case core.ChangeShift:
+			return drain.CheckShift(state, ch.Shift)
+		default:
 			return nil
 		}
-		next, err := sheet.Apply(s, ch)
-		if err != nil {
-			return err
-		}
-		return everyServiceServes(next)
-	}
-}
-
-func everyServiceServes(s core.Sheet) error {
-	drained := make(map[core.ServerID]bool)
-	for _, d := range sheet.Domains(s) {
-		for id := range drainedServers(s, d) {
-			drained[id] = true
-		}
-	}
-	serves := make(map[core.ServiceID]bool)
-	for _, v := range s.Servers {
-		if !drained[v.Name] {
-			serves[v.Service] = true
-		}
-	}
-	for _, v := range s.Servers {
-		if !serves[v.Service] {
-			return codes.New(codes.ChangeInvalid, "entry: no backend server of service %s would be left", v.Service)
-		}
 	}
-	return nil
 }
--- a/app/entry/pools.go
+++ b/app/entry/pools.go
@@ -424,3 +424,19 @@
 	}
 	s.lease.Done(s.timer.Now(), outcome)
 }
+
+// drainedInFlight returns this host's requests in flight at the servers that
+// a drain empties.
+func (p *pools) drainedInFlight(d core.Drain) int64 {
+	p.mu.RLock()
+	own := p.own
+	p.mu.RUnlock()
+	drained := drainedServers(core.Sheet{Drains: []core.Drain{d}, Servers: own}, p.self.Domain)
+	var n int64
+	for _, s := range own {
+		if drained[s.Name] {
+			n += p.inFlight(s.Name)
+		}
+	}
+	return n
+}
--- a/app/entry/serve.go
+++ b/app/entry/serve.go
@@ -33,9 +33,9 @@
 var serveModule = fx.Module("serve",
 	fx.Provide(
 		newSlotUse, newPools, newServers, newSteer, newBeater, newOrders, newDesk, newRemote, newFlow,
-		newControl, newGuard, newStopper, newListeners,
+		newControl, newGuard, newStopper, newDrains, newListeners,
 	),
-	fx.Invoke(runBeater, runPools, runSteer, runOrders, runDesk, watchGauges, runListeners),
+	fx.Invoke(runBeater, runPools, runSteer, runOrders, runDesk, runStopper, watchGauges, runListeners),
 )
 
 func newServers(lc fx.Lifecycle, t core.Timer) core.Servers {
@@ -206,16 +206,14 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle(peers.Path, d.Peers.Handler())
-	mux.Handle(relay.Path, d.Desk)
+	mux.Handle(relay.Path, d.Stopper.count(d.Desk))
 	operators := admin.New(admin.Config{Control: d.Control, Secret: d.Settings.Admin.Secret, Metrics: d.Metrics.Handler(), Log: d.Log})
 	limits := d.Settings.Limits
-	l := &listeners{
-		caller: caller.Server(context.Background(), h, limits.Header, limits.Slow),
+	return &listeners{
+		caller: caller.Server(context.Background(), d.Stopper.count(h), limits.Header, limits.Slow),
 		peer:   &http.Server{Handler: mux, ReadHeaderTimeout: limits.Slow, MaxHeaderBytes: limits.Header},
 		admin:  &http.Server{Handler: operators, ReadHeaderTimeout: limits.Slow, MaxHeaderBytes: limits.Header},
 	}
-	d.Stopper.servers = l
-	return l
 }
 
 func look(s *steer.Steer, a netip.Addr, service core.ServiceID) ([]caller.Place, time.Duration, error) {
--- a/app/entry/state.go
+++ b/app/entry/state.go
@@ -62,6 +62,13 @@
 	Evidence *seats.Evidence
 	Seat     *seats.Seat
 	Keys     *keys.Keys
+	releases chan releaseRequest
+}
+
+// releaseRequest asks the seat's goroutine to give the seat up.
+type releaseRequest struct {
+	ctx  context.Context
+	done chan error
 }
 
 type stateDeps struct {
@@ -81,7 +88,7 @@
 type guard func(core.Sheet, core.Change) error
 
 func newState(d stateDeps) (*state, error) {
-	s := &state{}
+	s := &state{releases: make(chan releaseRequest)}
 	neighbours := func() []core.HostID { return names(d.Group.Neighbours(d.Group.Self())) }
 	s.Log = config.New(config.Config{
 		Table: d.Table, Objects: d.Objects, Codec: wire.Codec{}, Peers: d.Peers,
@@ -156,7 +163,7 @@
 func runState(d *duties, s *state, t core.Timer) {
 	d.every("config", pollPeriod, func(ctx context.Context) error { return s.poll(ctx, t) })
 	d.add(s.Log.RunPush)
-	d.every("seat", seatPeriod, s.Seat.Tick)
+	d.add(func(ctx context.Context) { s.runSeat(ctx, t) })
 	d.add(func(ctx context.Context) { runKeys(ctx, s.Keys, t) })
 	d.every("sweep", sweepPeriod, func(context.Context) error {
 		s.Keys.Sweep()
@@ -164,6 +171,35 @@
 	})
 }
 
+// runSeat ticks the seat and gives it up when asked to; both happen in this
+// goroutine only.
+func (s *state) runSeat(ctx context.Context, t core.Timer) {
+	ticks := t.Subscribe("seat", seatPeriod)
+	defer ticks.Stop()
+	for {
+		// The next tick tries again; the acting gauge shows failures.
+		_ = s.Seat.Tick(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		case r := <-s.releases:
+			r.done <- s.Seat.Release(r.ctx)
+		}
+	}
+}
+
+// release gives the seat up if this host holds it.
+func (s *state) release(ctx context.Context) error {
+	r := releaseRequest{ctx: ctx, done: make(chan error, 1)}
+	select {
+	case s.releases <- r:
+		return <-r.done
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // runKeys ticks the keys once a second and at once when there is a
 // withdrawal to forward.
 func runKeys(ctx context.Context, k *keys.Keys, t core.Timer) {
--- a/core/peers.go
+++ b/core/peers.go
@@ -83,6 +83,14 @@
 	Health Health
 }
 
+// DrainCount is what a host still has to do for a drain.
+type DrainCount struct {
+	Kind     DrainKind
+	Target   string
+	InFlight int64
+	Age      time.Duration // since the host learned of the drain
+}
+
 // Beat is a heartbeat, and the answer to one.
 type Beat struct {
 	Host    Host
@@ -105,6 +113,7 @@
 	Ages      []Age
 	Loads     []Load
 	Probes    []Probed // of the sender, for hosts of its domain
+	Drains    []DrainCount
 }
 
 // ConfigPull asks for the entries after a version.
--- a/io/wire/beat.go
+++ b/io/wire/beat.go
@@ -48,6 +48,14 @@
 	Load    float64
 }
 
+type drainCountWire struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     uint64
+	Target   string
+	InFlight int64
+	Age      time.Duration
+}
+
 type beatWire struct {
 	_         struct{} `cbor:",toarray"`
 	Host      hostWire
@@ -62,6 +70,7 @@
 	Ages      []ageWire
 	Loads     []loadWire
 	Probes    []probedWire
+	Drains    []drainCountWire
 }
 
 func packHost(h core.Host) (hostWire, error) {
@@ -111,6 +120,13 @@
 			Ready: p.Health.Ready, Leaving: p.Health.Leaving, Load: p.Health.Load,
 		})
 	}
+	for _, d := range m.Drains {
+		kind, err := drainKinds.required(string(d.Kind))
+		if err != nil {
+			return nil, err
+		}
+		w.Drains = append(w.Drains, drainCountWire{Kind: kind, Target: d.Target, InFlight: d.InFlight, Age: d.Age})
+	}
 	return w, w.check()
 }
 
@@ -131,6 +147,11 @@
 			return errors.Errorf("load %v of a probe is out of range", p.Load)
 		}
 	}
+	for _, d := range w.Drains {
+		if err := notNegative("drain age", d.Age); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -168,5 +189,12 @@
 			Health: core.Health{Ready: p.Ready, Leaving: p.Leaving, Load: p.Load},
 		})
 	}
+	for _, d := range w.Drains {
+		kind, err := drainKinds.requiredValue(d.Kind)
+		if err != nil {
+			return nil, err
+		}
+		m.Drains = append(m.Drains, core.DrainCount{Kind: core.DrainKind(kind), Target: d.Target, InFlight: d.InFlight, Age: d.Age})
+	}
 	return m, nil
 }
