member: let a leaving host return

Change: Group.Return.

Tests can fail: without the higher incarnation, in a scratch copy, TestLeaveRestartForget fails.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -239,6 +239,18 @@
 	g.enqueue(now, g.self.Name, 0)
 }
 
+// Return takes Leave back, when a drain of this host is resumed.
+func (g *Group) Return(now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.self.State != core.HostLeaving {
+		return
+	}
+	g.self.State = core.HostLive
+	g.self.Incarnation++
+	g.enqueue(now, g.self.Name, 0)
+}
+
 // Tick runs the observations. Its owner calls it at least once per
 // interval; a call that comes late by more than Config.Pause restarts the
 // observations, because the silence was then this host's own.
