--- a/io/wire/seat.go
+++ b/io/wire/seat.go
@@ -39,6 +39,9 @@
 func (w *attestWire) message() (core.Message, error) { return core.Attest{}, nil }
 
 func (w *attestedWire) message() (core.Message, error) {
+	if len(w.Candidates) == 0 {
+		w.Candidates = nil
+	}
 	return core.Attested{
 		Domain: w.Domain, Host: w.Host, Epoch: w.Epoch, Acting: w.Acting,
 		Version: w.Version, Withdrawn: w.Withdrawn,
