caller: find keys between other delimiters and behind escapes

Also, only the first Connection header was honoured. Change: texts are divided into words at three sets of delimiters, each finer than the one before, and unescaped up to three times; the caller's own key of 8 bytes or more is also found inside words; the whole query is checked after parameters were removed. A key of another workspace inside a longer word can't be found, because only its hash is known.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -167,6 +167,10 @@
 	h.cfg.Metrics.Served(answer.Workspace, answer.Class, time.Since(start), sent)
 }
 
+// wholeKey is the length in bytes from which the caller's own key is found
+// inside longer words. A shorter one would be found in words by chance.
+const wholeKey = 8
+
 // call reads one request and removes keys from what goes on.
 func (h *Handler) call(c *gin.Context) (flow.Call, error) {
 	limit, err := deadline(c.GetHeader(HeaderDeadline))
@@ -182,7 +186,9 @@
 		return flow.Call{}, err
 	}
 	bearer := bearerOf(c.Request)
-	isKey := func(text string) bool { return text != "" && (text == bearer || h.cfg.KnownKey(text)) }
+	isKey := func(text string) bool {
+		return text != "" && (text == bearer || len(bearer) >= wholeKey && strings.Contains(text, bearer) || h.cfg.KnownKey(text))
+	}
 	path, err := cleanPath(c, isKey)
 	if err != nil {
 		return flow.Call{}, err
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -27,7 +27,10 @@
 	"azurering/io/metric"
 )
 
-const secret = "key-of-loft-a"
+const (
+	secret   = "key-of-loft-a"
+	otherKey = "key-of-loft-b" // known, but not sent as the bearer
+)
 
 // lab is a caller interface over a scripted backend server.
 type lab struct {
@@ -72,7 +75,7 @@
 
 func (l *lab) Probe(context.Context, core.Server) (core.Health, error) { return core.Health{}, nil }
 
-func start(t *testing.T, l *lab) *httptest.Server {
+func start(t testing.TB, l *lab) *httptest.Server {
 	t.Helper()
 	if l.answer == nil {
 		l.answer = func() core.Response { return text("hello", 5) }
@@ -95,7 +98,7 @@
 			}
 			return []caller.Place{{Host: "h1", Domain: "d1", Address: a.String()}}, 10 * time.Second, nil
 		},
-		KnownKey: func(s string) bool { return s == secret },
+		KnownKey: func(s string) bool { return s == secret || s == otherKey },
 		Flow:     flow.New(flow.Config{Timer: timer.NewManual(), Keys: l, Rates: l, Shifts: l, Pool: l, Orders: l, Server: l}),
 		Metrics:  metrics, Log: log, MaxBody: 100, Slow: 200 * time.Millisecond,
 	})
--- a/io/caller/clean.go
+++ b/io/caller/clean.go
@@ -6,8 +6,12 @@
 	"net"
 	"net/http"
 	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
@@ -27,7 +31,7 @@
 // cleanHeader copies request headers without credentials.
 func cleanHeader(in http.Header, isKey func(string) bool) http.Header {
 	out := in.Clone()
-	for _, name := range strings.Split(in.Get("Connection"), ",") {
+	for _, name := range strings.Split(strings.Join(in.Values("Connection"), ","), ",") {
 		if name = strings.TrimSpace(name); name != "" {
 			out.Del(name)
 		}
@@ -36,25 +40,60 @@
 		out.Del(name)
 	}
 	for name, values := range out {
-		for _, v := range values {
-			if holdsKey(v, isKey) {
-				out.Del(name)
-				break
-			}
+		if holdsKey(name, isKey) || slices.ContainsFunc(values, func(v string) bool { return holdsKey(v, isKey) }) {
+			out.Del(name)
 		}
 	}
 	return out
 }
 
-// holdsKey reports whether a text is a key or has one as a word.
+// unescapes is how often a text is unescaped in the search for keys: a
+// backend server may unescape what the caller escaped twice.
+const unescapes = 3
+
+var escape = regexp.MustCompile("%[0-9A-Fa-f]{2}")
+
+// holdsKey reports whether a text, or what unescaping makes of it, is a key
+// or has one as a word. Keys of others are known by their hashes only, so
+// one that is part of a longer word is not found.
 func holdsKey(text string, isKey func(string) bool) bool {
+	for range unescapes {
+		if hasKey(text, isKey, separators) {
+			return true
+		}
+		// Unescapes what it can: a backend server may be lenient, too.
+		plain := escape.ReplaceAllStringFunc(text, func(e string) string {
+			b, _ := strconv.ParseUint(e[1:], 16, 8)
+			return string([]byte{byte(b)})
+		})
+		if plain == text {
+			return false
+		}
+		text = plain
+	}
+	return hasKey(text, isKey, separators)
+}
+
+// separators divide texts into words, each more finely than the one before,
+// because a key may have some of the characters that divide others.
+var separators = []func(rune) bool{
+	func(r rune) bool { return unicode.IsSpace(r) || strings.ContainsRune(",;\"'", r) },
+	func(r rune) bool { return strings.ContainsRune("&=/?:|()[]<>{}", r) },
+	func(r rune) bool {
+		return r != '-' && r != '_' && (r > unicode.MaxASCII || !unicode.IsLetter(r) && !unicode.IsDigit(r))
+	},
+}
+
+func hasKey(text string, isKey func(string) bool, by []func(rune) bool) bool {
 	if isKey(text) {
 		return true
 	}
-	for _, word := range strings.FieldsFunc(text, func(r rune) bool { return strings.ContainsRune(" ,;=&\"'/?", r) }) {
-		if isKey(word) {
-			return true
+	for i, separates := range by {
+		words := strings.FieldsFunc(text, separates)
+		if len(words) == 1 && words[0] == text {
+			continue
 		}
+		return slices.ContainsFunc(words, func(w string) bool { return hasKey(w, isKey, by[i+1:]) })
 	}
 	return false
 }
@@ -71,9 +110,9 @@
 		if part == ".." || part == "." {
 			return "", codes.New(codes.RequestBad, "caller: the path must not have . or .. as a part")
 		}
-		if holdsKey(part, isKey) {
-			return "", codes.New(codes.RequestBad, "caller: the path holds a key; send it in the Authorization header only")
-		}
+	}
+	if holdsKey(plain, isKey) {
+		return "", codes.New(codes.RequestBad, "caller: the path holds a key; send it in the Authorization header only")
 	}
 	if c.Request.URL.RawQuery == "" {
 		return escaped, nil
@@ -82,13 +121,18 @@
 	if err != nil {
 		return "", codes.Wrap(err, codes.RequestBad, "caller: malformed query")
 	}
+	raw := c.Request.URL.RawQuery
 	if removeKeys(query, isKey) {
-		if len(query) == 0 {
-			return escaped, nil
-		}
-		return escaped + "?" + query.Encode(), nil
+		raw = query.Encode()
+	}
+	// A key may also lie across the parts into which a query is parsed.
+	if holdsKey(raw, isKey) {
+		return "", codes.New(codes.RequestBad, "caller: the query holds a key; send it in the Authorization header only")
+	}
+	if raw == "" {
+		return escaped, nil
 	}
-	return escaped + "?" + c.Request.URL.RawQuery, nil
+	return escaped + "?" + raw, nil
 }
 
 func removeKeys(query url.Values, isKey func(string) bool) bool {
