--- a/app/verbs/verbs_test.go
+++ b/app/verbs/verbs_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"encoding/pem"
 	"io"
+	stdlog "log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -307,3 +309,32 @@
 		}
 	}
 }
+
+// Guards against a credential that is sent to a host whose certificate was
+// not checked, and against certificate flags that are not used.
+func TestTLS(t *testing.T) {
+	t.Setenv("AZURERING_SECRET", credential)
+	l := newLab(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := admin.New(admin.Config{Control: l.control, Secret: credential, Metrics: http.NotFoundHandler(), Log: log})
+	s := httptest.NewTLSServer(h)
+	s.Config.ErrorLog = stdlog.New(io.Discard, "", 0)
+	t.Cleanup(s.Close)
+	l.addr = s.Listener.Addr().String()
+	l.file(t, "ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})))
+	for _, c := range []struct {
+		line string
+		code int
+		want string
+	}{
+		{"status --host HOST --ca DIR/ca.pem", 0, "kushiro"},
+		{"status --host https://HOST --ca DIR/ca.pem", 0, "kushiro"},
+		{"status --host https://HOST", 1, "error 7001"},
+		{"status --host HOST", 1, "error 7"},
+	} {
+		code, out, errs := l.run(context.Background(), c.line)
+		require.Equal(t, c.code, code, "%s: %s%s", c.line, out, errs)
+		require.Contains(t, out+errs, c.want)
+	}
+}
