--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -1,4 +1,4 @@
-package examples_test
+package sample_test
 
 import (
 	"context"
