rates: hold the shift with a domain cut off to its target, as a known red case

The measurement held this case to 94% and 90%, figures taken from its own runs. The bound is the target of 95% again; the case misses it and is listed in KNOWN-RED.txt.

--- a/core/rates/measure_test.go
+++ b/core/rates/measure_test.go
@@ -300,6 +300,19 @@
 // every invariant on the way. The baselines are measured with the same
 // arrivals.
 func TestMeasure(t *testing.T) {
+	measure(t, func(r *result) bool { return !r.shiftsWhileCut() })
+}
+
+// Measures the case that misses its target: see KNOWN-RED.txt. The cut
+// domain cannot get what its callers newly need.
+func TestMeasureShiftWhileCut(t *testing.T) {
+	measure(t, (*result).shiftsWhileCut)
+}
+
+func (r *result) shiftsWhileCut() bool { return r.outage == outageCut && r.pattern == patternShift }
+
+func measure(t *testing.T, wanted func(*result) bool) {
+	t.Helper()
 	var results []*result
 	for _, pat := range []pattern{patternSteady, patternShift, patternTen} {
 		for _, o := range []outage{outageNone, outageStore, outageCut} {
@@ -307,7 +320,9 @@
 				if p != policyLoans && !full {
 					continue
 				}
-				results = append(results, &result{policy: p, pattern: pat, outage: o})
+				if r := (&result{policy: p, pattern: pat, outage: o}); wanted(r) {
+					results = append(results, r)
+				}
 			}
 		}
 	}
@@ -334,11 +349,9 @@
 	}
 }
 
-// requireTargets checks the targets (docs/parts/rates.md), but for the one that is
-// missed: with a domain cut off while the load shifts, the cut domain cannot
-// get what its callers newly need; there the worst-served workspace is held
-// to 94% instead of 95%, and in the short measurement, of which the shift is a
-// larger part, to 90%. The baselines have no targets.
+// requireTargets checks the targets (docs/parts/rates.md): wrongful refusals
+// below 0.1% without a fault and below 1% with one, and 95% for the
+// worst-served workspace. The baselines have no targets.
 func (r *result) requireTargets(t *testing.T) {
 	t.Helper()
 	if r.policy != policyLoans {
@@ -348,12 +361,6 @@
 	if r.outage != outageNone {
 		wrongful = 1
 	}
-	if r.outage == outageCut && r.pattern == patternShift {
-		worst = 0.90
-		if full {
-			worst = 0.94
-		}
-	}
 	require.Less(t, r.trial.wrongful(), wrongful, "wrongful refusals, %s, %s", r.pattern, r.outage)
 	require.GreaterOrEqual(t, r.trial.worst(), worst, "worst served, %s, %s", r.pattern, r.outage)
 }
