bench: measure processor time and memory, and model the full overlay

Cause: docs/CAPACITY.md needs slopes of processor time and memory, and the spread of a change at 5,724 hosts, which do not fit one process.

Change: Costs runs the control operations by testing.Benchmark, Memory takes differences of the live heap, and Flood models pushes, heartbeats and pulls over the neighbours that core/member chooses. The ordinary suite checks that the model reaches all hosts and that bytes per item don't grow.

--- a/bench/capac_test.go
+++ b/bench/capac_test.go
@@ -62,3 +62,60 @@
 	t.Logf("messages\n%s", bench.TrafficTable(results))
 	t.Logf("store\n%s", bench.StoreTable(results))
 }
+
+// Guards against an overlay on which a change can stop before the last host.
+// It also compares the model with the hosts' own code at the same size.
+func TestCapacityFlood(t *testing.T) {
+	sizes, runs := [][2]int{{6, 2}, {6, 4}}, 5
+	if full() {
+		sizes, runs = [][2]int{{6, 2}, {10, 10}, {20, 15}, {54, 20}, {54, 106}}, 20
+	}
+	var results []bench.FloodResult
+	for _, size := range sizes {
+		cfg := fleet(size[0], size[1])
+		r := bench.Flood(cfg, runs)
+		require.Equal(t, runs, r.Reached, "changes that every one of %d hosts got", r.Hosts)
+		results = append(results, r)
+	}
+	t.Logf("model\n%s", bench.FloodTable(results))
+}
+
+// TestCapacityCosts prints processor times. It asserts nothing about them:
+// they depend on the machine.
+func TestCapacityCosts(t *testing.T) {
+	if !full() {
+		t.Skip("processor times are measured with AZURERING_CAPACITY=1 only")
+	}
+	costs, err := bench.Costs(bench.CostSizes{
+		Keys: []int{1_000, 10_000, 100_000}, Hosts: []int{300, 1_500, 5_700}, Resources: []int{10, 100, 1_000},
+		Callers: []int{1, 10, 100}, Blocks: []int{10_000, 100_000, 930_000}, Servers: 4_100,
+	})
+	require.NoError(t, err)
+	t.Logf("processor\n%s", bench.CostTable(costs))
+}
+
+// Guards against items whose memory grows faster than their number.
+func TestCapacityMemory(t *testing.T) {
+	sizes := bench.MemorySizes{
+		Blocks: []int{10_000, 30_000}, Sites: []int{500, 1_500}, Hosts: []int{300, 900}, Shares: []int{10, 30},
+		Keys: []int{1_000, 3_000}, Withdrawals: []int{1_000, 3_000}, Orders: []int{300, 900},
+	}
+	if full() {
+		sizes = bench.MemorySizes{
+			Blocks: []int{10_000, 100_000, 930_000}, Sites: []int{100, 1_000, 4_100}, Hosts: []int{300, 1_500, 5_700}, Shares: []int{10, 100, 1_000},
+			Keys: []int{1_000, 10_000, 100_000}, Withdrawals: []int{1_000, 10_000, 100_000}, Orders: []int{100, 1_000, 10_000},
+		}
+	}
+	results, err := bench.Memory(sizes)
+	require.NoError(t, err)
+	first := make(map[string]float64)
+	for _, r := range results {
+		each := float64(r.Bytes) / float64(r.Count)
+		if first[r.Item] == 0 {
+			first[r.Item] = each
+		}
+		require.Positive(t, r.Bytes, r.Item)
+		require.Less(t, each, 2*first[r.Item], "%s: bytes each grow with the number", r.Item)
+	}
+	t.Logf("memory\n%s", bench.MemoryTable(results))
+}
