share: sort the borrowers of an asked resource once

Cause: each item of a loan ask listed and sorted all borrowers of the resource twice and divided both rates and slots, although a resource has only one of them.

Change: the keeper lists the active borrowers once and passes them on, sorts without reflection, and skips the part that has nothing to divide.

--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -282,8 +282,8 @@
 	}
 	others := a.debts.lent(now).Sub(held)
 	room := usable.Sub(others).Max(core.Amount{})
-	target := a.debts.target(now, k.cfg.Length, usable, b, k.cfg.Domain)
-	own, _ := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
+	own, foreign := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
+	target := a.debts.target(usable, own, foreign, b)
 	if _, sum := a.debts.wants(own, rateOf); sum > usable.Rate {
 		a.short = true
 	}
--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -1,7 +1,9 @@
 package share
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"azurering/core"
@@ -62,16 +64,17 @@
 }
 
 func sortBorrowers(list []borrower) {
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].host != list[j].host {
-			return list[i].host < list[j].host
+	slices.SortFunc(list, func(a, b borrower) int {
+		if c := strings.Compare(string(a.host), string(b.host)); c != 0 {
+			return c
 		}
-		return list[i].incarnation < list[j].incarnation
+		return cmp.Compare(a.incarnation, b.incarnation)
 	})
 }
 
 // wants returns the wanted rates or slots of borrowers and their sum.
 func (l ledger) wants(list []borrower, part func(core.Amount) int64) (wants []int64, sum int64) {
+	wants = make([]int64, 0, len(list))
 	for _, b := range list {
 		w := max(part(l[b].want), 0)
 		wants = append(wants, w)
@@ -83,13 +86,12 @@
 func rateOf(a core.Amount) int64  { return a.Rate }
 func slotsOf(a core.Amount) int64 { return a.Slots }
 
-// target returns what borrower b should hold of the usable amount. Needs of
-// the domain's hosts come first, max-min fairly. Borrowers of other domains
+// target returns what borrower b should hold of the usable amount, given the
+// active borrowers. Needs of the domain's hosts come first, max-min fairly. Borrowers of other domains
 // get at most three quarters of what is left. Half of the rest is lent to the
 // domain's hosts as headroom, in proportion to their needs; the other half
 // stays free for the next ask.
-func (l ledger) target(now, within time.Duration, usable core.Amount, b borrower, domain core.DomainID) core.Amount {
-	own, foreign := l.active(now, within, domain)
+func (l ledger) target(usable core.Amount, own, foreign []borrower, b borrower) core.Amount {
 	t := core.Amount{
 		Rate:  l.part(usable.Rate, own, foreign, b, rateOf),
 		Slots: l.part(usable.Slots, own, nil, b, slotsOf),
@@ -103,6 +105,10 @@
 }
 
 func (l ledger) part(usable int64, own, foreign []borrower, b borrower, part func(core.Amount) int64) int64 {
+	if usable <= 0 {
+		// A resource has either a rate or slots.
+		return 0
+	}
 	needs, _ := l.wants(own, part)
 	parts, left := Meet(usable, needs)
 	wants, _ := l.wants(foreign, part)
