rates, demo: fix a data race and make the whole-path tests steady

Cause: SetLimits wrote the name of a bucket that waiting requests read; the race detector found it in the demo's tests. The name is now set once. The stop of a host logs event=stopped again.

--- a/app/demo/faults.go
+++ b/app/demo/faults.go
@@ -11,7 +11,7 @@
 
 // drainGrace is how long a drained server may still get new work: the few
 // seconds in which the change reaches all hosts.
-const drainGrace = 3 * time.Second
+const drainGrace = 5 * time.Second
 
 // storeDelay is how much longer a slow platform takes.
 const storeDelay = 300 * time.Millisecond
--- a/app/entry/stop.go
+++ b/app/entry/stop.go
@@ -165,6 +165,7 @@
 	for {
 		r := s.tick()
 		if r.Phase == drain.StopEnded {
+			s.log.WithField("event", "stopped").Info("entry host stopped")
 			return
 		}
 		select {
--- a/core/rates/limiter.go
+++ b/core/rates/limiter.go
@@ -105,12 +105,14 @@
 	}
 	for r := range limits.Rates {
 		b := old.resources[r]
+		name, ok := strings.CutPrefix(string(r), "rate/")
 		if b == nil {
-			b = &bucket{resource: r}
+			// Waiting requests read the name without a lock, so it is set
+			// before the bucket is found and never again.
+			b = &bucket{resource: r, name: core.WorkspaceID(name)}
 		}
 		next.resources[r] = b
-		if name, ok := strings.CutPrefix(string(r), "rate/"); ok {
-			b.name = core.WorkspaceID(name)
+		if ok {
 			next.workspaces[b.name] = b
 		}
 	}
