share: resolve the merge of the borrowers' list

Both changes are kept: tokens in flight count against the burst, and the active borrowers are listed once.

--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -289,17 +289,11 @@
 		return core.Amount{}
 	}
 	others := a.debts.lent(now).Sub(held)
-<<<<<<< HEAD
 	room := usable.Sub(others)
 	room.Burst -= a.debts.flying()
 	room = room.Max(core.Amount{})
-	target := a.debts.target(now, k.cfg.Length, usable, b, k.cfg.Domain)
-	own, _ := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
-=======
-	room := usable.Sub(others).Max(core.Amount{})
 	own, foreign := a.debts.active(now, k.cfg.Length, k.cfg.Domain)
 	target := a.debts.target(usable, own, foreign, b)
->>>>>>> capac
 	if _, sum := a.debts.wants(own, rateOf); sum > usable.Rate {
 		a.short = true
 	}
