--- a/app/entry/control.go
+++ b/app/entry/control.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"sync"
 
 	"go.uber.org/fx"
 
 	"azurering/core"
 	"azurering/core/codes"
 	"azurering/core/drain"
+	"azurering/core/group"
 	"azurering/core/member"
 	"azurering/io/admin"
 )
@@ -124,22 +124,12 @@
 func (c *Control) hosts(ctx context.Context) []admin.HostStatus {
 	list := c.group.Hosts()
 	out := make([]admin.HostStatus, len(list))
-	gate := make(chan struct{}, statusParallel)
-	var all sync.WaitGroup
-	for i, h := range list {
-		out[i].Host = h
-		if h.State == core.HostDead {
-			continue
-		}
-		all.Add(1)
-		gate <- struct{}{}
-		go func() {
-			defer all.Done()
+	group.Each(statusParallel, len(list), func(i int) {
+		out[i].Host = list[i]
+		if list[i].State != core.HostDead {
 			c.ask(ctx, &out[i])
-			<-gate
-		}()
-	}
-	all.Wait()
+		}
+	})
 	return out
 }
 
--- a/app/entry/pools.go
+++ b/app/entry/pools.go
@@ -12,6 +12,7 @@
 	"azurering/core"
 	"azurering/core/codes"
 	"azurering/core/config"
+	"azurering/core/group"
 	"azurering/core/member"
 	"azurering/core/pool"
 	"azurering/core/share"
@@ -23,6 +24,8 @@
 	// host of its domain: at 6 ms a probe it costs the server 0.12%.
 	probePeriod  = 5 * time.Second
 	probeTimeout = 2 * time.Second
+	// probeParallel bounds the probes under way at once.
+	probeParallel = 16
 	// sharedLife is how long a probe result is passed on in heartbeats.
 	sharedLife = 2 * probePeriod
 	// noticeTime is how long a slot stays taken after an exchange was given
@@ -330,15 +333,7 @@
 	live := names(p.group.Live(p.self.Domain))
 	var mine []core.Server
 	p.each(func(_ core.ServiceID, one *pool.Pool) { mine = append(mine, one.Probes(live)...) })
-	var all sync.WaitGroup
-	for _, s := range mine {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			p.probeOne(ctx, s)
-		}()
-	}
-	all.Wait()
+	group.Each(probeParallel, len(mine), func(i int) { p.probeOne(ctx, mine[i]) })
 }
 
 func (p *pools) probeOne(ctx context.Context, s core.Server) {
--- a/core/config/follow.go
+++ b/core/config/follow.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/group"
 )
 
 // Poll reads the versions after the own one from the store, applies them
@@ -185,17 +185,11 @@
 func (l *Log) push(ctx context.Context, out outgoing) {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	var all sync.WaitGroup
-	for _, host := range l.cfg.Neighbours() {
-		if host == out.except {
-			continue
-		}
-		all.Add(1)
-		go func() {
-			defer all.Done()
+	hosts := l.cfg.Neighbours()
+	group.Each(len(hosts), len(hosts), func(i int) {
+		if hosts[i] != out.except {
 			// A failed push is made good by the pull after a heartbeat.
-			_, _ = l.cfg.Peers.Call(ctx, host, core.ConfigPush{Entries: out.entries})
-		}()
-	}
-	all.Wait()
+			_, _ = l.cfg.Peers.Call(ctx, hosts[i], core.ConfigPush{Entries: out.entries})
+		}
+	})
 }
--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -113,26 +113,6 @@
 	}
 }
 
-// each runs f for 0 to n-1, at most Parallel at once, and waits for all.
-func (k *Keys) each(n int, f func(i int)) {
-	if k.cfg.Parallel == 1 {
-		for i := range n {
-			f(i)
-		}
-		return
-	}
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, k.cfg.Parallel)
-	for i := range n {
-		slots <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-slots }()
-			f(i)
-		})
-	}
-	wg.Wait()
-}
-
 func (k *Keys) call(ctx context.Context, to core.HostID, m core.Message) (core.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, k.cfg.CallTimeout/2)
 	defer cancel()
--- a/core/keys/tick.go
+++ b/core/keys/tick.go
@@ -12,6 +12,7 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/group"
 )
 
 // pollSize is the number of rows in one read of the log.
@@ -66,7 +67,7 @@
 	for len(news) > 0 {
 		part := news[:min(len(news), pullSize)]
 		news = news[len(part):]
-		k.each(len(hosts), func(i int) {
+		group.Each(k.cfg.Parallel, len(hosts), func(i int) {
 			// The error is of no use here: heartbeats repair what is lost.
 			_, _ = k.call(ctx, hosts[i], core.WithdrawPush{Withdrawals: part})
 		})
@@ -78,7 +79,7 @@
 	hosts := k.behind
 	k.behind = nil
 	k.mu.Unlock()
-	k.each(len(hosts), func(i int) {
+	group.Each(k.cfg.Parallel, len(hosts), func(i int) {
 		// The error is of no use here: the next heartbeat asks again.
 		_ = k.Pull(ctx, hosts[i])
 	})
--- a/core/keys/withdraw.go
+++ b/core/keys/withdraw.go
@@ -7,6 +7,7 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/group"
 	"azurering/core/seats"
 )
 
@@ -53,7 +54,7 @@
 		func() { acks = k.askDomains(ctx, w) },
 		func() { storeErr = k.store(ctx, w.Key) },
 	}
-	k.each(len(jobs), func(i int) { jobs[i]() })
+	group.Each(k.cfg.Parallel, len(jobs), func(i int) { jobs[i]() })
 	report := k.report(w, acks)
 	report.Known = known
 	if !report.Durable {
@@ -96,7 +97,7 @@
 	domains := k.cfg.Domains()
 	var mu sync.Mutex
 	acks := make(map[core.DomainID]core.WithdrawAck, len(domains))
-	k.each(len(domains), func(i int) {
+	group.Each(k.cfg.Parallel, len(domains), func(i int) {
 		ack, err := k.askDomain(ctx, domains[i], w)
 		if err != nil || !ack.Acting || ack.Domain != domains[i] {
 			return
--- a/core/seats/ask.go
+++ b/core/seats/ask.go
@@ -9,6 +9,7 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/group"
 )
 
 // onAttest answers Attest. The right to act is read before the age, and the
@@ -52,26 +53,6 @@
 	return s.cfg.Peers.Call(ctx, to, m)
 }
 
-// each runs f for 0 to n-1, at most Parallel at once, and waits for all.
-func (s *Seat) each(n int, f func(i int)) {
-	if s.cfg.Parallel == 1 {
-		for i := range n {
-			f(i)
-		}
-		return
-	}
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, s.cfg.Parallel)
-	for i := range n {
-		slots <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-slots }()
-			f(i)
-		})
-	}
-	wg.Wait()
-}
-
 // askPromises asks the other candidates for promises: each period while the
 // own reads are older than half of the bound, and otherwise only now and
 // then, so that a new or restarted candidate reads the row while the store
@@ -102,7 +83,7 @@
 	if len(hosts) == 0 || !s.every("promise", s.period()) {
 		return
 	}
-	s.each(len(hosts), func(i int) { s.askPromise(ctx, hosts[i], epoch) })
+	group.Each(s.cfg.Parallel, len(hosts), func(i int) { s.askPromise(ctx, hosts[i], epoch) })
 }
 
 func (s *Seat) askPromise(ctx context.Context, to core.HostID, epoch uint64) {
@@ -335,7 +316,7 @@
 	for i, to := range []int{2, Majority(len(all)), len(domains)} {
 		to = min(to, len(domains))
 		part, done := context.WithTimeout(ctx, s.cfg.CallTimeout*time.Duration(i+2)/8)
-		s.each(to-from, func(i int) {
+		group.Each(s.cfg.Parallel, to-from, func(i int) {
 			if _, err := s.seek(part, domains[from+i]); err != nil {
 				mu.Lock()
 				last = err
--- a/core/seats/take.go
+++ b/core/seats/take.go
@@ -10,6 +10,7 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/group"
 )
 
 // attempt is a write of the seat row that may or may not have taken effect.
@@ -290,7 +291,7 @@
 	}
 	// A question about an epoch that a candidate does not know makes it read
 	// the row at its next tick, where it finds the seat free.
-	s.each(len(r.Candidates), func(i int) {
+	group.Each(s.cfg.Parallel, len(r.Candidates), func(i int) {
 		_, _ = s.call(ctx, r.Candidates[i], core.SeatPromise{Domain: r.Domain, Epoch: r.Epoch + 1})
 	})
 	return true, nil
