rates: remove the slot counter that nothing used

core/pool counts the slots in use against the same loans, with a state machine as its test (TestPicksStayWithinSlotsAndOffLeavingServers). The logic stood twice; TestSlots tested only the removed type and goes with it.

--- a/core/rates/doc.go
+++ b/core/rates/doc.go
@@ -1,4 +1,3 @@
 // Package rates admits requests against the loans that a host holds: token
-// buckets for rates, concurrency slots for backend servers, and a short
-// queue that is fair between workspaces.
+// buckets for rates, and a short queue that is fair between workspaces.
 package rates
--- a/core/rates/limiter_test.go
+++ b/core/rates/limiter_test.go
@@ -198,28 +198,6 @@
 func (l lender) Want(r core.Resource, a core.Amount) { l.wants[r] = a }
 func (l lender) Need(core.Resource, int64)           {}
 
-// Guards against more requests at a server than slots lent, slots that are
-// free while a request still runs, and wants that do not follow the use.
-func TestSlots(t *testing.T) {
-	to := lender{wants: map[core.Resource]core.Amount{}}
-	s := &rates.Slots{Lender: to}
-	r := core.SlotsResource("desk-1")
-	require.False(t, s.Take(0, "desk-1"))
-	require.Equal(t, core.Amount{Slots: 1}, to.wants[r])
-	part := share.Part{Lender: "d", Amount: core.Amount{Slots: 2}, Until: 12 * time.Second}
-	s.SetLoans(0, r, []share.Part{part})
-	require.True(t, s.Take(0, "desk-1"))
-	require.True(t, s.Take(0, "desk-1"))
-	require.False(t, s.Take(0, "desk-1"))
-	s.Tick(0)
-	require.Equal(t, core.Amount{Slots: 4}, to.wants[r], "two in use, two refused")
-	require.Equal(t, int64(2), s.Over(12*time.Second, "desk-1"))
-	require.Equal(t, int64(2), s.InUse(r))
-	s.Release("desk-1")
-	require.Equal(t, int64(1), s.Free(0, "desk-1"))
-	require.False(t, s.Take(12*time.Second, "desk-1"), "the loan has expired")
-}
-
 // BenchmarkAdmit measures one admission out of many workspaces in turn.
 func BenchmarkAdmit(b *testing.B) {
 	for _, n := range []int{8, 10_000} {
