demo, verbs: give test processes addresses of their own

Ruled out: a hang of the status call (stack dumps show none). Each test process now uses its own loopback addresses and ports below the ephemeral range.

--- a/app/demo/process_test.go
+++ b/app/demo/process_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -79,12 +78,11 @@
 	return raw
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
+// processAddress returns an address of the n-th host that nothing else uses:
+// an address of the loopback range per test process and host, with a port
+// below those that the system gives out by itself.
+func processAddress(n, listener int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 60+os.Getpid()%100, os.Getpid()/100%250, n+1, 21000+listener)
 }
 
 // openLogs returns a file for log lines, whose end is shown if the test
@@ -113,7 +111,7 @@
 		for _, d := range r.Domains {
 			require.NoError(t, w.startBackends(d))
 			for n := range hostsPerDomain {
-				s := w.settings(d, n+1, [3]string{freeAddress(t), freeAddress(t), freeAddress(t)})
+				s := w.settings(d, n+1, [3]string{processAddress(len(out), 0), processAddress(len(out), 1), processAddress(len(out), 2)})
 				p := &process{settings: s, path: filepath.Join(dir, string(s.Host)+".toml"), binary: binary, logs: logs}
 				text := fmt.Sprintf(processSettings, s.Host, d, freshness, s.Caller.Listen, s.Peer.Listen, s.Admin.Listen,
 					s.Platform.Table, s.Platform.Objects, s.Platform.Hosts, d)
@@ -162,7 +160,7 @@
 		if err == nil && s.Version > 0 && ready == len(list) {
 			return
 		}
-		require.NoError(t, ctx.Err(), "%d of %d hosts are ready", ready, len(list))
+		require.NoError(t, ctx.Err(), "%d of %d hosts are ready, version %d, last error %v, hosts %+v", ready, len(list), s.Version, err, s.Hosts)
 		time.Sleep(200 * time.Millisecond)
 	}
 }
--- a/app/verbs/entry_test.go
+++ b/app/verbs/entry_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -82,13 +81,11 @@
 `
 )
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// hostAddress returns an address that nothing else uses: an address of the
+// loopback range per test process, with a port below those that the system
+// gives out by itself.
+func hostAddress(listener int) string {
+	return fmt.Sprintf("127.%d.%d.1:%d", 160+os.Getpid()%90, os.Getpid()/90%250, 21000+listener)
 }
 
 // syncBuffer is a buffer that the entry host's goroutines write to.
@@ -121,9 +118,9 @@
 	}))
 	defer backend.Close()
 
-	l := &lab{addr: freeAddress(t), dir: t.TempDir()}
-	caller := freeAddress(t)
-	fill := strings.NewReplacer("CALLER", caller, "PEER", freeAddress(t), "ADMIN", l.addr, "PLATFORM", platform.URL(),
+	l := &lab{addr: hostAddress(0), dir: t.TempDir()}
+	caller := hostAddress(1)
+	fill := strings.NewReplacer("CALLER", caller, "PEER", hostAddress(2), "ADMIN", l.addr, "PLATFORM", platform.URL(),
 		"BACKEND", backend.Listener.Addr().String())
 	l.file(t, "entry.toml", fill.Replace(entrySettings))
 	l.file(t, "sheet.toml", fill.Replace(entrySheet))
--- a/core/rates/limiter_test.go
+++ b/core/rates/limiter_test.go
@@ -193,11 +193,6 @@
 	require.NoError(t, l.Wait(context.Background(), "w", rates.Request, time.Second))
 }
 
-type lender struct{ wants map[core.Resource]core.Amount }
-
-func (l lender) Want(r core.Resource, a core.Amount) { l.wants[r] = a }
-func (l lender) Need(core.Resource, int64)           {}
-
 // BenchmarkAdmit measures one admission out of many workspaces in turn.
 func BenchmarkAdmit(b *testing.B) {
 	for _, n := range []int{8, 10_000} {
