entry: derive the limits of a configuration once

The keeper and the limiter each derived them from the sheet on every configuration change; docs/CAPACITY.md has 1.1 ms for one derivation at 4,100 servers. Both only read the result, so they now share one. Behaviour is unchanged; the tests of app/entry, app/verbs and the demo's planned work under the race detector pass.

--- a/app/entry/limits.go
+++ b/app/entry/limits.go
@@ -30,13 +30,12 @@
 	return rates.NewLimiter(rates.LimiterConfig{Timer: t})
 }
 
-func newKeeper(s setup.Settings, t core.Timer, table core.Table, st *state, d *directory, p core.Peers, h *hub) *share.Keeper {
+func newKeeper(s setup.Settings, t core.Timer, table core.Table, st *state, d *directory, p core.Peers) *share.Keeper {
 	k := share.NewKeeper(share.KeeperConfig{
 		Domain: s.Domain, Table: table, Timer: t, Acting: st.Seat.Acting, Check: st.Seat.Fence,
 		DomainOf: d.domainOf, Length: s.Loan,
 	})
 	p.Handle(core.KindLoanAsk, k.Handle)
-	h.subscribe(func(c config.State) { k.SetLimits(share.LimitsOf(c.Version, c.Sheet)) })
 	return k
 }
 
@@ -49,7 +48,11 @@
 
 func newLimits(k *share.Keeper, h *share.Holder, l *rates.Limiter, hb *hub) *limits {
 	l.Bind(h)
-	hb.subscribe(func(c config.State) { l.SetLimits(share.LimitsOf(c.Version, c.Sheet)) })
+	hb.subscribe(func(c config.State) {
+		limits := share.LimitsOf(c.Version, c.Sheet)
+		k.SetLimits(limits)
+		l.SetLimits(limits)
+	})
 	return &limits{keeper: k, holder: h, limiter: l}
 }
 
