place: keep an object on its replicas and bound the wait by the objective

Cause: under load a request went to any server with a free slot. Ruled out: too few slots; warm answers need 45% of them. Change: three replicas an object; a request waits only where it is expected to be answered within its objective, and goes beyond its replicas only while less than 70% of the slots are busy.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -14,8 +14,20 @@
 const (
 	// sameDomain and sameRegion weigh servers near the host, as bytes
 	// between domains and regions cost.
-	sameDomain = 1.0
-	sameRegion = 1.0
+	sameDomain = 3.0
+	sameRegion = 3.0
+	// replicas is how many servers an object is spread over before others
+	// take its requests. Servers remember some objects more than they own.
+	replicas = 3
+	// coldFactor is how many times longer a server works on an object that
+	// it has not handled recently.
+	coldFactor = 3.0
+	// spillBusy is the share of busy slots in a service above which no
+	// request goes to a server beyond its object's replicas: there it would
+	// take the time of several others.
+	spillBusy = 0.7
+	// defaultWork is the assumed time of a request before the first answer.
+	defaultWork = 250 * time.Millisecond
 	// coldSpacing is the least time between two requests of one host to a
 	// cold server.
 	coldSpacing = 1100 * time.Millisecond
@@ -28,8 +40,11 @@
 	Homes   []core.RegionID
 	Bound   bool // only servers in Homes may serve the request
 	Tried   []core.ServerID
-	// Queue is how many requests may wait at a server beyond its slots.
-	Queue int
+	// Sticky says that servers are faster for objects that they handled.
+	Sticky bool
+	// Patience is how long the answer may take, waiting at the server
+	// included. A server with a free slot is taken in any case.
+	Patience time.Duration
 }
 
 // Lease is the place of one request at a server.
@@ -38,6 +53,7 @@
 	view   *View
 	server *server
 	start  time.Duration
+	queued bool // the request had to wait at the server
 }
 
 func hashName(name string) uint64 { return xxhash.Sum64String(name) }
@@ -125,41 +141,73 @@
 	if len(list) == 0 {
 		return nil, codes.New(codes.NoServer, "place: no server of service %s may serve this request", ask.Service)
 	}
-	s := v.pick(now, list, ask.Queue)
+	s := v.pick(now, list, ask)
 	if s == nil {
 		return nil, codes.New(codes.NoCapacity, "place: all servers of service %s are full", ask.Service)
 	}
+	queued := s.busy(now) >= float64(s.Slots)
 	s.inFlight++
-	return &Lease{Instance: s.Instance, view: v, server: s, start: now}, nil
+	return &Lease{Instance: s.Instance, view: v, server: s, start: now, queued: queued}, nil
 }
 
-// pick returns the first server with a free slot. Without one, it returns
-// the server with the shortest queue if that is within the bound.
-func (v *View) pick(now time.Duration, list []candidate, queue int) *server {
+// pick returns the first of the object's servers with a free slot, or else
+// the server that is expected to answer first, if that is soon enough.
+func (v *View) pick(now time.Duration, list []candidate, ask Ask) *server {
 	var best *server
-	shortest := math.Inf(1)
+	shortest := ask.Patience
+	work := v.work(ask.Service)
+	near := 0 // replicas seen so far
 	for _, c := range list {
-		if now < c.shedUntil {
-			continue
-		}
 		if c.cold {
 			if v.takeCold(now, c.server) {
 				return c.server
 			}
 			continue
 		}
-		wait := c.busy(now) - float64(c.Slots)
-		if wait < 0 {
+		near++
+		if now < c.shedUntil {
+			continue
+		}
+		beyond := ask.Sticky && near > replicas
+		if beyond && near == replicas+1 && v.isBusy(now, list) {
+			break
+		}
+		ahead := c.busy(now) - float64(c.Slots) + 1
+		if ahead <= 0 && !beyond {
 			return c.server
 		}
-		if wait < shortest {
-			best, shortest = c.server, wait
+		took := work
+		if beyond {
+			if ahead > 0 {
+				continue
+			}
+			took = time.Duration(coldFactor * float64(work))
+		}
+		took += time.Duration(max(ahead, 0) / float64(c.Slots) * float64(work))
+		if took < shortest {
+			best, shortest = c.server, took
 		}
 	}
-	if shortest < float64(queue) {
-		return best
+	return best
+}
+
+// isBusy reports whether most slots of a service are taken.
+func (v *View) isBusy(now time.Duration, list []candidate) bool {
+	busy, slots := 0.0, 0.0
+	for _, c := range list {
+		busy += min(c.busy(now), float64(c.Slots))
+		slots += float64(c.Slots)
+	}
+	return busy > spillBusy*slots
+}
+
+// work returns the mean time in which servers of a service answer without a
+// queue.
+func (v *View) work(service core.ServiceID) time.Duration {
+	if w := v.works[service]; w > 0 {
+		return w
 	}
-	return nil
+	return defaultWork
 }
 
 // takeCold reports whether a cold server may get a request of this host now.
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -48,7 +48,9 @@
 	switch end {
 	case EndAnswered:
 		s.ejects = 0
-		s.learn(now - l.start)
+		if !l.queued {
+			v.learn(s.Service, now-l.start)
+		}
 	case EndShed:
 		s.shedUntil = now + shedPause
 	case EndMoved, EndBroken, EndSilent:
@@ -59,14 +61,15 @@
 	}
 }
 
-// learn blends the time of an answer into the mean.
-func (s *server) learn(took time.Duration) {
-	const weight = 0.2
-	if s.mean == 0 {
-		s.mean = took.Seconds()
+// learn blends the time of an answer into the mean of the service.
+func (v *View) learn(service core.ServiceID, took time.Duration) {
+	const weight = 0.05
+	mean := v.works[service]
+	if mean == 0 {
+		v.works[service] = took
 		return
 	}
-	s.mean += weight * (took.Seconds() - s.mean)
+	v.works[service] = mean + time.Duration(weight*float64(took-mean))
 }
 
 // check asks for a health check and sets the time of the next one.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -58,7 +58,7 @@
 	servers   map[core.ServerID]*server
 	services  map[core.ServiceID][]*server // servers that are listed, by name
 	evacuated map[core.DomainID]bool
-	warm      map[core.DomainID]time.Duration // end of the cold time after an evacuation
+	works     map[core.ServiceID]time.Duration // mean time of answers without a queue
 }
 
 // server is what the host knows of one server. View.mu guards it.
@@ -77,7 +77,6 @@
 	doubt     bool // gets nothing until a health check succeeds
 	checkAt   time.Duration
 	ejects    int
-	mean      float64 // mean time of whole answers in seconds, 0 if unknown
 }
 
 // New returns a view without servers.
@@ -87,7 +86,7 @@
 		servers:   make(map[core.ServerID]*server),
 		services:  make(map[core.ServiceID][]*server),
 		evacuated: make(map[core.DomainID]bool),
-		warm:      make(map[core.DomainID]time.Duration),
+		works:     make(map[core.ServiceID]time.Duration),
 	}
 }
 
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -168,25 +168,13 @@
 	}
 	return place.Ask{
 		Service: j.record.Service, Object: j.rule.Prefix + object, Homes: homes, Bound: bound, Tried: j.record.Servers,
-		Queue: j.queue(),
+		Sticky: j.rule.Sticky && j.call.Object != "", Patience: j.patience(),
 	}
 }
 
-// priority returns the rank of the request; 0 is the highest.
-func (j *job) priority() int {
-	if j.holder != nil && j.holder.Priority != nil {
-		return *j.holder.Priority
-	}
-	return j.rule.Priority
-}
-
-// queue returns how many requests may wait at a server before this one.
-// Urgent requests may queue longer, so that the others are refused first.
-func (j *job) queue() int {
-	if j.rule.Kind == core.RouteOrder {
-		return 3
-	}
-	return 2
+// patience returns how long the answer may still take to be of full use.
+func (j *job) patience() time.Duration {
+	return j.call.Arrived + j.rule.Target - j.cfg.Timer.Now()
 }
 
 // acquire chooses a server, and waits a moment for one if all are full.
