--- a/app/edge/beats.go
+++ b/app/edge/beats.go
@@ -8,6 +8,7 @@
 
 	"azurering/core"
 	"azurering/core/gossip"
+	"azurering/core/quota"
 	"azurering/io/beacon"
 )
 
@@ -88,10 +89,10 @@
 		if err := h.beacon.Send(h.beat(count), targets); err != nil {
 			h.cfg.Log.WithError(err).Debug("edge: beat was not sent to all hosts")
 		}
-		demand, inFlight, hosts := h.members.Totals()
-		h.limiter.SetOthers(demand, hosts)
-		h.budget.SetHosts(hosts)
-		h.view.SetRemote(inFlight)
+		others := h.members.Totals()
+		h.limiter.SetOthers(quota.Others{Demand: others.Demand, Hosts: others.Hosts, Unheard: others.Unheard})
+		h.budget.SetHosts(others.Hosts + 1)
+		h.view.SetRemote(others.InFlight)
 		h.view.Expire()
 	}
 }
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -143,30 +143,39 @@
 	return names
 }
 
+// Totals is what the other hosts report together.
+type Totals struct {
+	Demand   map[core.WorkspaceID]float64
+	InFlight map[core.ServerID]int
+	Hosts    int // other hosts that may take requests
+	Unheard  int // those of them without a beat yet
+}
+
 // Totals sums up what the other hosts report. Hosts that fell silent a
 // short while ago count for demand, as they may only be cut off, but not for
 // the requests in flight.
-func (v *View) Totals() (demand map[core.WorkspaceID]float64, inFlight map[core.ServerID]int, hosts int) {
+func (v *View) Totals() Totals {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	demand = make(map[core.WorkspaceID]float64)
-	inFlight = make(map[core.ServerID]int)
-	hosts = 1
+	t := Totals{Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.ServerID]int)}
 	for _, p := range v.peers {
-		if now >= p.at+forget {
+		if now >= p.at+forget || !p.heard && now >= p.at+silence {
 			continue
 		}
-		hosts++
+		t.Hosts++
+		if !p.heard {
+			t.Unheard++
+		}
 		for w, d := range p.Demand {
-			demand[w] += d
+			t.Demand[w] += d
 		}
 		if !v.alive(now, p) {
 			continue
 		}
 		for s, n := range p.InFlight {
-			inFlight[s] += n
+			t.InFlight[s] += n
 		}
 	}
-	return demand, inFlight, hosts
+	return t
 }
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,296 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/core/place"
+	"azurering/core/timer"
+)
+
+type lab struct {
+	clock  *timer.Manual
+	view   *place.View
+	checks []core.ServerID
+	mates  []core.HostID
+}
+
+var regions = map[core.DomainID]core.RegionID{"a": "north", "b": "north", "c": "south"}
+
+func newLab(host core.HostID, domain core.DomainID) *lab {
+	l := &lab{clock: timer.NewManual(), mates: []core.HostID{host}}
+	l.view = place.New(place.Config{
+		Timer: l.clock, Host: host, Domain: domain, Region: regions[domain], Regions: regions,
+		Mates: func(core.DomainID) []core.HostID { return l.mates },
+		Service: func(core.ServiceID) *core.Backing {
+			return &core.Backing{Health: "/health", ColdFor: 3 * time.Second, ColdRate: 2.5}
+		},
+		Check: func(i core.Instance) { l.checks = append(l.checks, i.Name) },
+	})
+	return l
+}
+
+func instance(n int, domain core.DomainID) core.Instance {
+	return core.Instance{
+		Server: core.Server{
+			Name: core.ServerID(fmt.Sprintf("i-%d", n)), Service: "s", Domain: domain, Address: fmt.Sprintf("10.0.0.%d:80", n), Slots: 3,
+		},
+		State: core.InstanceReady, Born: 1000, Sequence: 1,
+	}
+}
+
+func (l *lab) fill(n int, domain core.DomainID) {
+	for i := range n {
+		l.view.Put(instance(i, domain))
+	}
+}
+
+func ask(object string) place.Ask {
+	return place.Ask{Service: "s", Object: object, Sticky: true, Patience: time.Second}
+}
+
+// A server is only fast for objects that it has handled, so that every host
+// must choose the same one.
+func TestHostsAgreeOnTheServerOfAnObject(t *testing.T) {
+	one, two := newLab("h1", "a"), newLab("h2", "a")
+	one.fill(20, "a")
+	for i := 19; i >= 0; i-- {
+		two.view.Put(instance(i, "a"))
+	}
+	for n := range 50 {
+		object := fmt.Sprint(n)
+		a, err := one.view.Acquire(ask(object))
+		require.NoError(t, err)
+		b, err := two.view.Acquire(ask(object))
+		require.NoError(t, err)
+		require.Equal(t, a.Name, b.Name)
+		a.Done(place.EndAnswered, nil)
+		b.Done(place.EndAnswered, nil)
+	}
+}
+
+// A server that joins or leaves must move few objects, or all others lose
+// what makes them fast.
+func TestFewObjectsMoveWhenAServerLeaves(t *testing.T) {
+	l := newLab("h1", "a")
+	l.fill(20, "a")
+	owner := func(object string) core.ServerID {
+		lease, err := l.view.Acquire(ask(object))
+		require.NoError(t, err)
+		defer lease.Done(place.EndAnswered, nil)
+		return lease.Name
+	}
+	before := make(map[string]core.ServerID)
+	for n := range 400 {
+		before[fmt.Sprint(n)] = owner(fmt.Sprint(n))
+	}
+	l.view.Drop("i-7", false)
+	for object, was := range before {
+		if was != "i-7" {
+			require.Equal(t, was, owner(object))
+		}
+	}
+}
+
+// Under load an object must not be spread over more servers than remember
+// it: each cold run takes the time of several others.
+func TestObjectStaysOnItsReplicasUnderLoad(t *testing.T) {
+	for n := range 20 {
+		for busy, most := range map[int]int{3: 10, 8: 3} { // full servers of ten: servers that an object may use
+			l := newLab("h1", "a")
+			l.fill(10, "a")
+			remote := make(map[core.ServerID]int)
+			for i := range busy {
+				remote[instance(i, "a").Name] = 3
+			}
+			l.view.SetRemote(remote)
+			seen := make(map[core.ServerID]bool)
+			patient := ask(fmt.Sprint(n))
+			patient.Patience = 3 * time.Second
+			for range 30 {
+				lease, err := l.view.Acquire(patient)
+				if err != nil {
+					require.Equal(t, codes.NoCapacity, codes.Of(err))
+					break
+				}
+				seen[lease.Name] = true
+			}
+			require.LessOrEqual(t, len(seen), most)
+			if busy == 3 {
+				require.Greater(t, len(seen), 3, "free servers help out while there are many")
+			}
+		}
+	}
+}
+
+// Requests must go to a free server rather than wait, while others of the
+// object's servers are idle.
+func TestFullServerIsPassedOver(t *testing.T) {
+	l := newLab("h1", "a")
+	l.fill(5, "a")
+	first, err := l.view.Acquire(ask("x"))
+	require.NoError(t, err)
+	for range 2 {
+		lease, err := l.view.Acquire(ask("x"))
+		require.NoError(t, err)
+		require.Equal(t, first.Name, lease.Name)
+	}
+	next, err := l.view.Acquire(ask("x"))
+	require.NoError(t, err)
+	require.NotEqual(t, first.Name, next.Name)
+}
+
+func TestWorkOfOtherHostsCounts(t *testing.T) {
+	l := newLab("h1", "a")
+	l.fill(5, "a")
+	first, err := l.view.Acquire(ask("x"))
+	require.NoError(t, err)
+	first.Done(place.EndAnswered, nil)
+	l.view.SetRemote(map[core.ServerID]int{first.Name: 3})
+	next, err := l.view.Acquire(ask("x"))
+	require.NoError(t, err)
+	require.NotEqual(t, first.Name, next.Name)
+}
+
+// Requests bound to their homes, and those of an evacuated domain, must
+// rather fail than go elsewhere.
+func TestHomesAndEvacuationBind(t *testing.T) {
+	l := newLab("h1", "a")
+	l.view.Put(instance(1, "a"))
+	l.view.Put(instance(3, "c"))
+	bound := ask("x")
+	bound.Homes, bound.Bound = []core.RegionID{"south"}, true
+	for range 3 {
+		lease, err := l.view.Acquire(bound)
+		require.NoError(t, err)
+		require.Equal(t, core.ServerID("i-3"), lease.Name)
+	}
+	l.view.Evacuate(map[core.DomainID]bool{"c": true})
+	_, err := l.view.Acquire(bound)
+	require.Equal(t, codes.NoServer, codes.Of(err))
+	bound.Homes = nil // homes of route and workspace exclude each other
+	_, err = l.view.Acquire(bound)
+	require.Equal(t, codes.NoServer, codes.Of(err))
+}
+
+// count sends as much as the view lets through for a time.
+func (l *lab) count(length time.Duration) int {
+	n := 0
+	for end := l.clock.Now() + length; l.clock.Now() < end; l.clock.Advance(10 * time.Millisecond) {
+		if lease, err := l.view.Acquire(ask("x")); err == nil {
+			lease.Done(place.EndAnswered, nil)
+			n++
+		}
+	}
+	return n
+}
+
+// A cold server crashes at a rate well above its bound, which holds for all
+// hosts together.
+func TestColdServerGetsFewRequests(t *testing.T) {
+	cold := instance(1, "a")
+	cold.ColdFor = 3 * time.Second
+	total := 0
+	mates := []core.HostID{"h1", "h2", "h3", "h4"}
+	for _, host := range append(mates, "far") {
+		domain := core.DomainID("a")
+		if host == "far" {
+			domain = "c"
+		}
+		l := newLab(host, domain)
+		l.mates = mates
+		l.view.Put(cold)
+		total += l.count(time.Second)
+	}
+	require.Positive(t, total, "a cold server must warm up")
+	require.LessOrEqual(t, total, 5) // 2.5 a second, and the rounding of two hosts
+}
+
+func TestServerIsColdAfterRestartAndEvacuation(t *testing.T) {
+	for name, again := range map[string]func(*lab){
+		"a restart under the same id": func(l *lab) {
+			i := instance(1, "a")
+			i.Born, i.Sequence = 2000, 1
+			l.view.Put(i)
+		},
+		"the end of an evacuation": func(l *lab) {
+			l.view.Evacuate(map[core.DomainID]bool{"a": true})
+			l.view.Evacuate(map[core.DomainID]bool{})
+		},
+		"its own word in a health check": func(l *lab) { l.view.Checked(instance(1, "a"), true, 2*time.Second) },
+	} {
+		l := newLab("h1", "a")
+		l.view.Put(instance(1, "a"))
+		require.Greater(t, l.count(time.Second), 50, name)
+		again(l)
+		require.LessOrEqual(t, l.count(time.Second), 2, name)
+		l.clock.Advance(3 * time.Second)
+		require.Greater(t, l.count(time.Second), 50, name)
+	}
+}
+
+// A report that arrives late must not bring a leaving server back.
+func TestLateReportIsIgnored(t *testing.T) {
+	l := newLab("h1", "a")
+	leaving := instance(1, "a")
+	leaving.State, leaving.Sequence = core.InstanceDraining, 9
+	l.view.Put(instance(1, "a"))
+	l.view.Put(leaving)
+	late := instance(1, "a")
+	late.Sequence = 8
+	require.False(t, l.view.Put(late))
+	_, err := l.view.Acquire(ask("x"))
+	require.Equal(t, codes.NoServer, codes.Of(err))
+}
+
+// A lapsed entry counts for a little longer; one that is withdrawn does not.
+func TestLapsedEntryIsHeld(t *testing.T) {
+	l := newLab("h1", "a")
+	l.view.Put(instance(1, "a"))
+	l.view.Drop("i-1", true)
+	l.view.Expire()
+	require.Positive(t, l.count(time.Second))
+	l.clock.Advance(time.Second)
+	l.view.Expire()
+	require.Zero(t, l.count(100*time.Millisecond))
+	l.view.Put(instance(2, "a"))
+	l.view.Drop("i-2", false)
+	require.Zero(t, l.count(100*time.Millisecond))
+}
+
+// A broken connection may mean that the server is gone, so that it gets
+// nothing before it was checked.
+func TestBrokenServerIsChecked(t *testing.T) {
+	l := newLab("h1", "a")
+	l.view.Put(instance(1, "a"))
+	lease, err := l.view.Acquire(ask("x"))
+	require.NoError(t, err)
+	lease.Done(place.EndBroken, nil)
+	require.Equal(t, []core.ServerID{"i-1"}, l.checks)
+	require.Zero(t, l.count(100*time.Millisecond))
+	l.view.Checked(instance(1, "a"), false, 0)
+	require.Zero(t, l.count(100*time.Millisecond))
+	l.clock.Advance(2 * time.Second)
+	l.view.Expire()
+	require.Len(t, l.checks, 2, "checked again after a pause")
+	l.view.Checked(instance(1, "a"), true, 0)
+	require.Positive(t, l.count(100*time.Millisecond))
+}
+
+// A refusal tells that the server is full now; it is not broken.
+func TestSheddingServerGetsAPause(t *testing.T) {
+	l := newLab("h1", "a")
+	l.view.Put(instance(1, "a"))
+	lease, err := l.view.Acquire(ask("x"))
+	require.NoError(t, err)
+	lease.Done(place.EndShed, &place.Load{Running: 3, Waiting: 9})
+	require.Zero(t, l.count(100*time.Millisecond))
+	require.Empty(t, l.checks)
+	l.clock.Advance(5 * time.Second)
+	require.Positive(t, l.count(100*time.Millisecond))
+}
--- /dev/null
+++ b/core/proxy/proxy_test.go
@@ -0,0 +1,236 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/core/place"
+	"azurering/core/proxy"
+	"azurering/core/quota"
+	"azurering/core/retry"
+	"azurering/core/routes"
+	"azurering/core/timer"
+)
+
+// backends answers each exchange with the next of its outcomes and the last
+// one from then on.
+type backends struct {
+	outcomes []outcome
+	sent     []core.Forward
+	clock    *timer.Manual
+}
+
+type outcome struct {
+	status int
+	state  core.SendState // of a failure
+	meta   core.ReplyMeta
+	took   time.Duration
+}
+
+func (b *backends) Exchange(_ context.Context, _ core.Instance, _ *core.Call, f core.Forward) (*core.Reply, core.ReplyMeta, error) {
+	o := b.outcomes[min(len(b.sent), len(b.outcomes)-1)]
+	b.sent = append(b.sent, f)
+	b.clock.Advance(o.took)
+	if o.state != "" {
+		return nil, o.meta, &core.SendError{State: o.state, Cause: errors.New("test")}
+	}
+	return &core.Reply{Status: o.status, Header: http.Header{}}, o.meta, nil
+}
+
+func (b *backends) Check(context.Context, core.Instance, string) (bool, core.ReplyMeta, error) {
+	return true, core.ReplyMeta{}, nil
+}
+
+type lab struct {
+	clock    *timer.Manual
+	backends *backends
+	table    *routes.Table
+	proxy    *proxy.Proxy
+}
+
+func newLab(outcomes ...outcome) *lab {
+	l := &lab{clock: timer.NewManual()}
+	l.backends = &backends{outcomes: outcomes, clock: l.clock}
+	rules := core.Rules{
+		Version: 7,
+		Routes: []core.Rule{
+			{Name: "lookup", Host: "h", Prefix: "/l/", Kind: core.RouteIdempotent, Attempts: 2},
+			{Name: "order", Host: "h", Prefix: "/o/", Kind: core.RouteOrder, Attempts: 2},
+			{Name: "open", Host: "h", Prefix: "/p/", Kind: core.RouteIdempotent, Attempts: 2, Access: core.AccessOpen},
+			{
+				Name: "split", Host: "h", Prefix: "/s/", Kind: core.RouteIdempotent, Attempts: 2,
+				Parts: []core.Part{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}},
+			},
+		},
+		Services:   []core.Backing{{Name: "s", ColdFor: time.Second}, {Name: "t"}},
+		Workspaces: []core.Holder{{Workspace: core.Workspace{Name: "w"}, Keys: []string{"k"}}, {Workspace: core.Workspace{Name: "slow", Rate: 1000, Burst: 1000}, Keys: []string{"k2"}}},
+	}
+	for i := range rules.Routes {
+		r := &rules.Routes[i]
+		r.Timeout, r.Target = 2*time.Second, 600*time.Millisecond
+		if r.Parts == nil {
+			r.Parts = []core.Part{{Service: "s", Weight: 1}}
+		}
+	}
+	l.table = routes.Compile(rules)
+	view := place.New(place.Config{
+		Timer: l.clock, Host: "h1", Domain: "a", Region: "north", Regions: map[core.DomainID]core.RegionID{"a": "north"},
+		Mates: func(core.DomainID) []core.HostID { return nil }, Service: l.table.Service, Check: func(core.Instance) {},
+	})
+	for i := range 4 {
+		for _, service := range []core.ServiceID{"s", "t"} {
+			view.Put(core.Instance{
+				Server: core.Server{Name: core.ServerID(fmt.Sprintf("%s-%d", service, i)), Service: service, Domain: "a", Address: "x", Slots: 50},
+				State:  core.InstanceReady,
+			})
+		}
+	}
+	limiter := quota.New(quota.Config{Timer: l.clock})
+	limiter.SetWorkspaces(l.table.Workspaces())
+	l.proxy = proxy.New(proxy.Config{
+		Timer: l.clock, Backends: l.backends, View: view, Limiter: limiter,
+		Budget: retry.New(retry.Config{Timer: l.clock, Ratio: 0.2, Extra: 64}), Table: func() *routes.Table { return l.table },
+	})
+	return l
+}
+
+func (l *lab) serve(path string, change ...func(*core.Call)) (*core.Reply, proxy.Record) {
+	c := &core.Call{ID: "r", Method: "GET", Host: "h", Path: path, Key: "k", Object: "17", Arrived: l.clock.Now(), Limit: 4 * time.Second}
+	for _, f := range change {
+		f(c)
+	}
+	return l.proxy.Serve(context.Background(), c)
+}
+
+var (
+	ok      = outcome{status: 200}
+	failed  = outcome{status: 500}
+	unsent  = outcome{state: core.SendNone}
+	refused = outcome{state: core.SendRefused}
+	maybe   = outcome{state: core.SendMaybe}
+)
+
+// What may be sent again, and what the caller may be promised, for each way
+// in which a server can fail.
+func TestRepeatsAndPromises(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		path     string
+		outcomes []outcome
+		status   int
+		sent     int
+	}{
+		{"answer", "/o/x", []outcome{ok}, 200, 1},
+		{"order never reached a server", "/o/x", []outcome{unsent, ok}, 200, 2},
+		{"order refused, then run", "/o/x", []outcome{refused, ok}, 200, 2},
+		{"order refused by all", "/o/x", []outcome{refused}, 503, 3},
+		{"order may have run", "/o/x", []outcome{maybe, ok}, 502, 1},
+		{"order refused, then may have run", "/o/x", []outcome{refused, maybe, ok}, 502, 2},
+		{"order failed by its server", "/o/x", []outcome{failed, ok}, 500, 1},
+		{"lookup may have run", "/l/x", []outcome{maybe, ok}, 200, 2},
+		{"lookup may have run twice", "/l/x", []outcome{maybe}, 502, 2},
+		{"lookup may have run, then refused by all", "/l/x", []outcome{maybe, refused}, 502, 4},
+		{"lookup failed, then run", "/l/x", []outcome{failed, ok}, 200, 2},
+		{"lookup failed twice", "/l/x", []outcome{failed, failed, ok}, 500, 2},
+		{"lookup failed, then refused by all", "/l/x", []outcome{failed, refused}, 500, 4},
+		{"lookup refused by all", "/l/x", []outcome{refused}, 503, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLab(c.outcomes...)
+			reply, record := l.serve(c.path)
+			require.Equal(t, c.status, reply.Status, record.Reason)
+			require.Len(t, l.backends.sent, c.sent)
+			if c.status == http.StatusServiceUnavailable {
+				require.NotEmpty(t, reply.Header.Get("Retry-After"))
+			}
+			seen := make(map[core.ServerID]bool)
+			for _, f := range l.backends.sent {
+				require.False(t, seen[f.Server], "no server gets a request twice")
+				seen[f.Server] = true
+			}
+		})
+	}
+}
+
+// Nothing may be denied before a configuration is known.
+func TestNoConfigurationIsNotDenied(t *testing.T) {
+	l := newLab(ok)
+	l.table = nil
+	reply, record := l.serve("/l/x")
+	require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+	require.Equal(t, codes.NoConfig, record.Code)
+}
+
+func TestKeysAndRoutes(t *testing.T) {
+	l := newLab(ok)
+	for _, c := range []struct {
+		path, key string
+		status    int
+		workspace core.WorkspaceID
+	}{
+		{"/l/x", "k", 200, "w"},
+		{"/l/x", "other", 401, ""},
+		{"/l/x", "", 401, ""},
+		{"/p/x", "", 200, ""},
+		{"/p/x", "other", 200, ""},
+		{"/none/x", "k", 404, ""},
+	} {
+		l.backends.sent = nil
+		reply, _ := l.serve(c.path, func(call *core.Call) { call.Key = c.key })
+		require.Equal(t, c.status, reply.Status, c)
+		if c.status != 200 {
+			require.Empty(t, l.backends.sent)
+			continue
+		}
+		require.Equal(t, c.workspace, l.backends.sent[0].Workspace)
+	}
+}
+
+func TestOverRateIsToldWhenToComeBack(t *testing.T) {
+	l := newLab(ok)
+	l.serve("/l/x", func(c *core.Call) { c.Key = "k2" })
+	reply, record := l.serve("/l/x", func(c *core.Call) { c.Key = "k2" })
+	require.Equal(t, http.StatusTooManyRequests, reply.Status)
+	require.Equal(t, codes.RateExceeded, record.Code)
+	require.NotEmpty(t, reply.Header.Get("Retry-After"))
+}
+
+// A server must not be told of more time than is left.
+func TestDeadlineIsWhatIsLeft(t *testing.T) {
+	slow := maybe
+	slow.took = 700 * time.Millisecond
+	l := newLab(slow, ok)
+	l.serve("/l/x", func(c *core.Call) { c.Limit = 1500 * time.Millisecond })
+	require.Len(t, l.backends.sent, 2)
+	require.Equal(t, 1500*time.Millisecond, l.backends.sent[0].Left)
+	require.Equal(t, 800*time.Millisecond, l.backends.sent[1].Left)
+}
+
+// The time limit of the route holds if the caller would wait for longer.
+func TestRouteTimeLimitHolds(t *testing.T) {
+	slow := maybe
+	slow.took = 2 * time.Second
+	l := newLab(slow, ok)
+	reply, _ := l.serve("/l/x")
+	require.Len(t, l.backends.sent, 1)
+	require.Equal(t, 2*time.Second, l.backends.sent[0].Left)
+	require.GreaterOrEqual(t, reply.Status, 500)
+}
+
+func TestSplitKeepsWeights(t *testing.T) {
+	l := newLab(ok)
+	count := make(map[core.ServiceID]int)
+	for range 100 {
+		_, record := l.serve("/s/x")
+		count[record.Service]++
+	}
+	require.Equal(t, map[core.ServiceID]int{"s": 90, "t": 10}, count)
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -19,10 +19,13 @@
 	demandLife = time.Second
 	// floorShare is the part of the rate that is divided evenly, so that a
 	// host whose demand rises has something before others hear of it.
-	floorShare = 0.15
+	floorShare = 0.25
 	// margin keeps the sum of the shares below the rate while reports of
 	// demand are on their way.
 	margin = 0.97
+	// unknownHosts is how many hosts share the rate before this host knows
+	// how many there are.
+	unknownHosts = 50
 )
 
 // Config configures a Limiter. Timer is required.
@@ -36,7 +39,8 @@
 
 	mu      sync.Mutex
 	buckets map[core.WorkspaceID]*bucket
-	hosts   int // hosts that may take requests, this one included
+	hosts   int  // hosts that may take requests, this one included
+	certain bool // all of them have reported their demand
 }
 
 type bucket struct {
@@ -50,7 +54,7 @@
 
 // New returns a limiter without workspaces.
 func New(cfg Config) *Limiter {
-	return &Limiter{cfg: cfg, buckets: make(map[core.WorkspaceID]*bucket), hosts: 1}
+	return &Limiter{cfg: cfg, buckets: make(map[core.WorkspaceID]*bucket), hosts: unknownHosts}
 }
 
 // SetWorkspaces replaces the workspaces. A new bucket starts empty, as an
@@ -72,7 +76,7 @@
 		}
 		b.refill(now)
 		b.rate, b.burst = float64(h.Rate)/1000, float64(h.Burst)/1000
-		b.divide(l.hosts)
+		b.divide(l.hosts, l.certain)
 		b.tokens = min(b.tokens, b.depth())
 	}
 }
@@ -120,26 +124,33 @@
 	return demand
 }
 
-// SetOthers takes in the demand at all other hosts together and the number
-// of hosts that may take requests, this one included.
-func (l *Limiter) SetOthers(demand map[core.WorkspaceID]float64, hosts int) {
+// Others is what is known of the other hosts.
+type Others struct {
+	Demand  map[core.WorkspaceID]float64 // requests a second of all of them together
+	Hosts   int                          // how many there are
+	Unheard int                          // those that have not reported yet
+}
+
+// SetOthers takes in the demand at the other hosts. While some of them have
+// not reported, each host gets an even share.
+func (l *Limiter) SetOthers(o Others) {
 	now := l.cfg.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts = max(hosts, 1)
+	l.hosts, l.certain = o.Hosts+1, o.Unheard == 0
 	for name, b := range l.buckets {
 		b.refill(now)
-		b.others = demand[name]
-		b.divide(l.hosts)
+		b.others = o.Demand[name]
+		b.divide(l.hosts, l.certain)
 		b.tokens = min(b.tokens, b.depth())
 	}
 }
 
 // divide sets the share: an even part, and the rest by demand.
-func (b *bucket) divide(hosts int) {
+func (b *bucket) divide(hosts int, certain bool) {
 	even := 1 / float64(hosts)
 	b.share = even
-	if total := b.demand + b.others; total > 0 {
+	if total := b.demand + b.others; certain && total > 0 {
 		b.share = floorShare*even + (1-floorShare)*b.demand/total
 	}
 }
--- /dev/null
+++ b/core/routes/routes_test.go
@@ -0,0 +1,59 @@
+package routes_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"azurering/core"
+	"azurering/core/routes"
+)
+
+func TestMatchTakesLongestPrefix(t *testing.T) {
+	table := routes.Compile(core.Rules{Routes: []core.Rule{
+		{Name: "short", Host: "h.example", Prefix: "/a/"},
+		{Name: "long", Host: "h.example", Prefix: "/a/b/"},
+		{Name: "other", Host: "g.example", Prefix: "/"},
+	}})
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/a/x", "short"},
+		{"H.example:80", "/a/b/x", "long"},
+		{"h.example", "/a/b", "short"},
+		{"g.example", "/a/b/", "other"},
+		{"h.example", "/a", ""},
+		{"h.example", "/ab/", ""},
+		{"f.example", "/a/", ""},
+	} {
+		got := table.Match(c.host, c.path)
+		if c.want == "" {
+			require.Nil(t, got, c)
+			continue
+		}
+		require.NotNil(t, got, c)
+		require.Equal(t, c.want, got.Name, c)
+	}
+}
+
+// Where route and workspace both have homes, both bind.
+func TestHomesOfBothBind(t *testing.T) {
+	north, both := []core.RegionID{"north"}, []core.RegionID{"north", "south"}
+	homes, bound := routes.Homes(&core.Rule{Homes: both}, &core.Holder{Homes: north})
+	require.True(t, bound)
+	require.Equal(t, north, homes)
+	homes, bound = routes.Homes(&core.Rule{Homes: []core.RegionID{"south"}}, &core.Holder{Homes: north})
+	require.True(t, bound)
+	require.Empty(t, homes)
+	_, bound = routes.Homes(&core.Rule{}, nil)
+	require.False(t, bound)
+	homes, bound = routes.Homes(&core.Rule{}, &core.Holder{Homes: north})
+	require.True(t, bound)
+	require.Equal(t, north, homes)
+}
+
+func TestHolder(t *testing.T) {
+	table := routes.Compile(core.Rules{Workspaces: []core.Holder{{Workspace: core.Workspace{Name: "w"}, Keys: []string{"a", "b"}}}})
+	require.True(t, table.Keyed())
+	require.Equal(t, core.WorkspaceID("w"), table.Holder("b").Name)
+	require.Nil(t, table.Holder(""))
+	require.False(t, routes.Compile(core.Rules{}).Keyed())
+}
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -58,6 +58,9 @@
 	call  *core.Call
 	reply chan *core.Reply
 	last  bool // the connection closes after the answer
+	// interim asks for the word that the caller may send its body; there is
+	// no request and no answer.
+	interim bool
 }
 
 // headReader bounds the bytes of a request's head.
@@ -220,9 +223,7 @@
 		return codes.New(codes.RequestTooLarge, "front: body is over %d bytes", limits.BodyBytes)
 	}
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return err
-		}
+		c.turns <- &turn{interim: true} // behind the answers to earlier requests
 	}
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTime))
 	var b bytes.Buffer
@@ -280,6 +281,10 @@
 // write writes the answers in the order of the requests.
 func (c *conn) write() {
 	for t := range c.turns {
+		if t.interim {
+			_, _ = io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n") // a lost caller shows at the answer
+			continue
+		}
 		reply := <-t.reply
 		if c.ctx.Err() != nil {
 			closeRest(reply)
