gossip, mirror: let one host a domain follow the store and speak for it

Cause: each host held calls open to the store, and sent its beats to all others. Ruled out: fewer beats (they bound how long a dead host is named) and longer calls (a silent connection would be kept too long). Change: the first host of a domain that the store serves follows it, the others fetch the changes from it; the first host of a domain sends the beats of all in one digest to two hosts of each other domain. A host that stops no longer counts the end of its own calls as an outage of the store.

--- a/app/edge/beats.go
+++ b/app/edge/beats.go
@@ -26,7 +26,7 @@
 // announce enters this host into the store's list and meets the others.
 // Later hosts introduce themselves by their beats.
 func (h *host) announce(ctx context.Context) {
-	raw, err := beacon.EncodeBeat(h.beat(0))
+	raw, err := beacon.EncodeBeat(h.beat())
 	if err != nil {
 		h.cfg.Log.WithError(err).Error("edge: host cannot be announced")
 		return
@@ -64,18 +64,20 @@
 }
 
 // beat returns this host's beat.
-func (h *host) beat(count uint64) gossip.Beat {
+func (h *host) beat() gossip.Beat {
 	b := gossip.Beat{
-		Host: h.cfg.Place.Name, Domain: h.cfg.Place.Domain, Address: h.cfg.Place.Address, Boot: h.boot, Count: count,
+		Host: h.cfg.Place.Name, Domain: h.cfg.Place.Domain, Address: h.cfg.Place.Address, Boot: h.boot,
 		Ready: h.isReady(), Changes: make(map[core.FeedTable]uint64), Demand: h.limiter.Demand(), InFlight: h.view.InFlight(),
 	}
 	for table, m := range h.world.mirrors {
 		_, b.Changes[table] = m.Versions()
+		b.Lost = b.Lost || m.Failing()
 	}
 	return b
 }
 
-// runBeats sends beats and takes in what others reported.
+// runBeats sends beats and takes in what others reported. A change that the
+// others wait for is told at once.
 func (h *host) runBeats(ctx context.Context) {
 	ticks := h.timer.Subscribe("beats", beatEvery)
 	defer ticks.Stop()
@@ -84,11 +86,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticks.C():
+		case <-h.world.changed:
 		}
-		count, targets := h.members.Targets()
-		if err := h.beacon.Send(h.beat(count), targets); err != nil {
-			h.cfg.Log.WithError(err).Debug("edge: beat was not sent to all hosts")
-		}
+		h.sendBeats()
 		others := h.members.Totals()
 		h.limiter.SetOthers(quota.Others{Demand: others.Demand, Hosts: others.Hosts, Unheard: others.Unheard})
 		h.budget.SetHosts(others.Hosts + 1)
@@ -97,45 +97,57 @@
 	}
 }
 
-// runCatchUp fetches a table from another host that knows a newer change.
+func (h *host) sendBeats() {
+	for _, m := range h.members.Tick(h.beat()) {
+		if err := h.beacon.Send(m.Digest, m.Addresses); err != nil {
+			h.cfg.Log.WithError(err).Debug("edge: beat was not sent to all hosts")
+		}
+	}
+}
+
+// hear takes in a digest from another host.
+func (h *host) hear(d gossip.Digest) []string {
+	onward := h.members.Hear(d)
+	for _, behind := range h.behind {
+		select {
+		case behind <- struct{}{}:
+		default:
+		}
+	}
+	return onward
+}
+
+// runCatchUp fetches the changes of a table that other hosts know of. Hosts
+// that do not follow the store learn all changes in this way; for the others
+// it makes up for calls to the store that got no answer.
 func (h *host) runCatchUp(ctx context.Context, table core.FeedTable) {
-	ticks := h.timer.Subscribe("catchup", behindFor)
-	defer ticks.Stop()
-	var behind uint64 // newest change that was missing at the last look
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticks.C():
+		case <-h.behind[table]:
 		}
 		m := h.world.mirrors[table]
 		_, own := m.Versions()
-		newest, from := h.newest(table)
-		if newest <= own {
-			behind = 0
+		if newest, _ := h.members.Newest(table); newest <= own {
 			continue
 		}
-		if behind == 0 || behind <= own {
-			behind = newest
+		if h.members.Follows() {
+			// The store's own answer is on its way.
+			<-h.timer.After(behindFor)
+		}
+		asOf, own := m.Versions()
+		newest, from := h.members.Newest(table)
+		if newest <= own || asOf == 0 && h.members.Follows() && !m.Failing() {
 			continue
 		}
-		behind = 0
-		c, err := beacon.FetchCopy(ctx, from, h.cfg.Place.Peer, table)
+		c, err := beacon.FetchCopy(ctx, from, h.cfg.Place.Peer, table, asOf)
 		log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": table, "own": own, "newest": newest, "from": from})
 		if err != nil {
-			log.WithError(err).Warn("edge: copy of a table was not fetched")
+			log.WithError(err).Warn("edge: changes were not fetched from another host")
+			<-h.timer.After(behindFor)
 			continue
 		}
-		log.WithField("adopted", m.Adopt(c)).Info("edge: copy of a table fetched from another host")
-	}
-}
-
-// newest returns the newest change that another host reports.
-func (h *host) newest(table core.FeedTable) (version uint64, address string) {
-	for _, p := range h.members.Peers() {
-		if p.Alive && p.Changes[table] > version {
-			version, address = p.Changes[table], p.Address
-		}
+		log.WithField("adopted", m.Adopt(c)).Debug("edge: changes fetched from another host")
 	}
-	return version, address
 }
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -52,6 +52,9 @@
 	boot    uint64
 	leaving atomic.Bool
 
+	// behind wakes the fetch of a table.
+	behind map[core.FeedTable]chan struct{}
+
 	front   *front.Server
 	beacon  *beacon.Beacon
 	servers []*http.Server
@@ -65,6 +68,9 @@
 	return &host{
 		cfg: cfg, timer: t, metrics: m, members: members, limiter: l, budget: b, pool: pool, world: w, view: view, proxy: p,
 		record: r, boot: uint64(time.Now().UnixMilli()),
+		behind: map[core.FeedTable]chan struct{}{
+			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
+		},
 	}
 }
 
@@ -74,7 +80,7 @@
 func (h *host) start(_ context.Context) error {
 	var err error
 	h.beacon, err = beacon.Listen(beacon.Config{
-		Address: h.cfg.Place.Address, Port: h.cfg.Place.Peer, Hear: h.members.Hear, Log: h.cfg.Log,
+		Address: h.cfg.Place.Address, Port: h.cfg.Place.Peer, Hear: h.hear, Log: h.cfg.Log,
 	})
 	if err != nil {
 		return err
@@ -195,10 +201,7 @@
 	log.WithField("connections", h.front.Open()).Info("edge: shutdown begins")
 	h.leaving.Store(true)
 	h.front.Leave()
-	count, targets := h.members.Targets()
-	if err := h.beacon.Send(h.beat(count), targets); err != nil {
-		log.WithError(err).Warn("edge: others will notice the shutdown with the next beat")
-	}
+	h.sendBeats()
 	<-h.timer.After(min(drainTime, h.cfg.Place.Bounds.Grace/2))
 	h.front.Close()
 	for until := from + h.cfg.Place.Bounds.Grace - stopMargin; h.front.Open() > 0 && h.timer.Now() < until; {
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -9,16 +9,17 @@
 	"github.com/sirupsen/logrus"
 
 	"azurering/core"
+	"azurering/core/gossip"
 	"azurering/core/mirror"
 	"azurering/core/place"
 	"azurering/core/quota"
 	"azurering/core/routes"
 )
 
-// followWait is how long one call waits for changes of a table. Other hosts
-// notice sooner that this one missed a change, so that it only bounds how
-// long a silent connection is kept if all hosts' connections are silent.
-const followWait = 8 * time.Second
+// followWait is how long one call waits for changes of a table. It bounds
+// how long a connection that fell silent is kept if no other host has a
+// better one: the platform allows 5 s after such a disturbance.
+const followWait = 3 * time.Second
 
 // Decoder decodes the rows that the platform writes.
 type Decoder struct {
@@ -40,23 +41,34 @@
 	view    *place.View
 	mirrors map[core.FeedTable]*mirror.Mirror
 	table   atomic.Pointer[routes.Table]
+	changed chan struct{} // a table has changed
 
 	mu        sync.Mutex
 	evacuated map[core.DomainID]bool
 }
 
-func newWorld(cfg Config, t core.Timer, limiter *quota.Limiter) *world {
-	w := &world{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool)}
+func newWorld(cfg Config, t core.Timer, limiter *quota.Limiter, members *gossip.View) *world {
+	w := &world{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1)}
 	w.mirrors = map[core.FeedTable]*mirror.Mirror{
-		core.FeedOperator: w.mirror(t, core.FeedOperator, w.operatorChanged),
-		core.FeedServers:  w.mirror(t, core.FeedServers, w.serversChanged),
+		core.FeedOperator: w.mirror(t, members, core.FeedOperator, w.operatorChanged),
+		core.FeedServers:  w.mirror(t, members, core.FeedServers, w.serversChanged),
 	}
 	return w
 }
 
-func (w *world) mirror(t core.Timer, table core.FeedTable, changed func([]core.Record, bool)) *mirror.Mirror {
+func (w *world) mirror(t core.Timer, members *gossip.View, table core.FeedTable, changed func([]core.Record, bool)) *mirror.Mirror {
 	return mirror.New(mirror.Config{
-		Table: table, Feed: w.cfg.Feed, Timer: t, Wait: followWait, Changed: changed,
+		Table: table, Feed: w.cfg.Feed, Timer: t, Wait: followWait, Follows: members.Follows,
+		Changed: func(rows []core.Record, lapsed bool) {
+			changed(rows, lapsed)
+			if !members.Follows() {
+				return // others heard of it when this host did
+			}
+			select {
+			case w.changed <- struct{}{}:
+			default: // the next beat tells of this change as well
+			}
+		},
 		Reached: func(err error) {
 			log := w.log.WithFields(logrus.Fields{"event": "store", "table": table})
 			if err != nil {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -2,6 +2,11 @@
 // the beats that they send: which are alive, what they ask of each
 // workspace's rate, what they have in flight, and how new their
 // configuration is.
+//
+// The hosts of a failure domain send their beats to one another. One of them
+// leads: it sends the beats of all of them to the other domains, and passes
+// on what comes from there. So the traffic between domains grows with the
+// hosts, not with their square.
 package gossip
 
 import (
@@ -13,16 +18,22 @@
 )
 
 const (
-	// silence is the time without a beat after which a host is not named to
-	// callers any more: four beats.
+	// silence is the time without a beat after which a host of the own
+	// domain counts as dead: four beats.
 	silence = 1600 * time.Millisecond
+	// farSilence is the same for other domains. It covers the time until
+	// another host leads there.
+	farSilence = 3 * time.Second
 	// forget is the time without a beat after which a host's share of the
 	// rates goes to others. A host that is only cut off still serves callers
 	// with the share that it had.
 	forget = 30 * time.Second
-	// deadEvery is how many beats a silent host misses out on between two
-	// that are sent to it.
+	// deadEvery is how many beats pass between two that are sent to hosts
+	// that are silent.
 	deadEvery = 5
+	// receivers is how many hosts of a domain get the beats of another one,
+	// so that they arrive while the first is dead and not yet silent.
+	receivers = 2
 )
 
 // Beat is what a host tells the others.
@@ -33,10 +44,28 @@
 	Boot    uint64 // start of the process, Unix milliseconds
 	Count   uint64 // beats of this process so far
 	Ready   bool   // takes requests
+	// Lost says that the platform's store does not serve the host.
+	Lost bool
 	// Changes holds the version of the newest change of each followed table.
 	Changes  map[core.FeedTable]uint64
 	Demand   map[core.WorkspaceID]float64
 	InFlight map[core.ServerID]int
+	// Age is how long ago the sender of a digest heard the beat.
+	Age time.Duration
+}
+
+// Digest is a message between hosts: the beat of its sender, or those of a
+// whole domain.
+type Digest struct {
+	Domain core.DomainID // of the sender
+	Passed bool          // it was passed on by a host of the receiver's domain
+	Beats  []Beat
+}
+
+// Message is a digest with the addresses that get it.
+type Message struct {
+	Digest    Digest
+	Addresses []string
 }
 
 // Peer is another host as this one sees it.
@@ -57,8 +86,8 @@
 	cfg Config
 
 	mu    sync.Mutex
+	self  Beat
 	peers map[core.HostID]*peer
-	count uint64
 }
 
 type peer struct {
@@ -69,50 +98,173 @@
 
 // New returns a view without other hosts.
 func New(cfg Config) *View {
-	return &View{cfg: cfg, peers: make(map[core.HostID]*peer)}
+	return &View{cfg: cfg, self: cfg.Self, peers: make(map[core.HostID]*peer)}
 }
 
 // Meet takes in that a host may exist, from the store's list.
 func (v *View) Meet(b Beat) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if b.Host == v.cfg.Self.Host || v.peers[b.Host] != nil {
+	if b.Host == v.self.Host || v.peers[b.Host] != nil {
 		return
 	}
 	v.peers[b.Host] = &peer{Beat: b, at: v.cfg.Timer.Now()}
 }
 
-// Hear takes in a beat. Beats that arrive late are ignored.
-func (v *View) Hear(b Beat) {
+// Hear takes in a digest and returns the addresses that it is to be passed
+// on to. Beats that arrive late are ignored.
+func (v *View) Hear(d Digest) []string {
+	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if b.Host == v.cfg.Self.Host || b.Host == "" {
+	for _, b := range d.Beats {
+		v.hear(now, b)
+	}
+	if d.Passed || d.Domain == v.self.Domain || !v.leads(now) {
+		return nil
+	}
+	return v.addresses(v.mates(now))
+}
+
+func (v *View) hear(now time.Duration, b Beat) {
+	if b.Host == v.self.Host || b.Host == "" {
 		return
 	}
 	p := v.peers[b.Host]
 	if p != nil && p.heard && (b.Boot < p.Boot || b.Boot == p.Boot && b.Count <= p.Count) {
 		return
 	}
-	v.peers[b.Host] = &peer{Beat: b, heard: true, at: v.cfg.Timer.Now()}
+	v.peers[b.Host] = &peer{Beat: b, heard: true, at: now - b.Age}
 }
 
-// Targets returns the addresses to send the next beat to. Silent hosts get
-// only some of the beats.
-func (v *View) Targets() (count uint64, addresses []string) {
+// Tick takes in this host's own beat and returns the messages to send.
+func (v *View) Tick(own Beat) []Message {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.count++
+	own.Count = v.self.Count + 1
+	v.self = own
+	messages := []Message{{Digest: Digest{Domain: own.Domain, Beats: []Beat{own}}, Addresses: v.near(now)}}
+	if v.leads(now) {
+		messages = append(messages, Message{Digest: v.digest(now), Addresses: v.far(now)})
+	}
+	return messages
+}
+
+// digest holds the beats of this host's domain.
+func (v *View) digest(now time.Duration) Digest {
+	d := Digest{Domain: v.self.Domain, Beats: []Beat{v.self}}
+	for _, p := range v.mates(now) {
+		b := p.Beat
+		b.Age = now - p.at
+		d.Beats = append(d.Beats, b)
+	}
+	return d
+}
+
+// near returns the hosts of the own domain that get a beat.
+func (v *View) near(now time.Duration) []string {
+	var list []*peer
+	for _, p := range v.peers {
+		if p.Domain == v.self.Domain && (v.alive(now, p) || v.isNew(now, p) || v.self.Count%deadEvery == 0) {
+			list = append(list, p)
+		}
+	}
+	return v.addresses(list)
+}
+
+// far returns the hosts of other domains that get a digest: the first of
+// each domain, or some of its hosts at times while it is silent.
+func (v *View) far(now time.Duration) []string {
+	domains := make(map[core.DomainID][]*peer)
 	for _, p := range v.peers {
-		if v.alive(now, p) || !p.heard && now < p.at+silence || v.count%deadEvery == 0 {
-			addresses = append(addresses, p.Address)
+		if p.Domain != v.self.Domain {
+			domains[p.Domain] = append(domains[p.Domain], p)
 		}
 	}
+	var list []*peer
+	for _, hosts := range domains {
+		sort.Slice(hosts, func(i, j int) bool { return hosts[i].Host < hosts[j].Host })
+		var first, late, fresh []*peer
+		for _, p := range hosts {
+			switch {
+			case p.heard && now < p.at+silence:
+				first = append(first, p)
+			case v.alive(now, p):
+				late = append(late, p)
+			case v.isNew(now, p):
+				fresh = append(fresh, p)
+			}
+		}
+		first = append(first, late...)
+		switch {
+		case len(first) > 0:
+			list = append(list, first[:min(len(first), receivers)]...)
+		case v.self.Count%deadEvery == 0:
+			// A different host each time, as any of them may be back first.
+			list = append(list, hosts[int(v.self.Count/deadEvery)%len(hosts)])
+		}
+		list = append(list, fresh...)
+	}
+	return v.addresses(list)
+}
+
+// addresses returns the addresses of hosts in order.
+func (v *View) addresses(list []*peer) []string {
+	addresses := make([]string, 0, len(list))
+	for _, p := range list {
+		addresses = append(addresses, p.Address)
+	}
 	sort.Strings(addresses)
-	return v.count, addresses
+	return addresses
 }
 
-func (v *View) alive(now time.Duration, p *peer) bool { return p.heard && now < p.at+silence }
+func (v *View) alive(now time.Duration, p *peer) bool {
+	limit := farSilence
+	if p.Domain == v.self.Domain {
+		limit = silence
+	}
+	return p.heard && now < p.at+limit
+}
+
+// isNew reports whether a host was listed a moment ago and may not have had
+// time for a beat.
+func (v *View) isNew(now time.Duration, p *peer) bool { return !p.heard && now < p.at+silence }
+
+// mates returns the other hosts of the own domain that are alive.
+func (v *View) mates(now time.Duration) []*peer {
+	var list []*peer
+	for _, p := range v.peers {
+		if p.Domain == v.self.Domain && v.alive(now, p) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// leads reports whether this host is the first of its domain.
+func (v *View) leads(now time.Duration) bool {
+	for _, p := range v.mates(now) {
+		if p.Host < v.self.Host {
+			return false
+		}
+	}
+	return true
+}
+
+// Follows reports whether this host follows the store for its domain: it is
+// the first of those that the store serves.
+func (v *View) Follows() bool {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.mates(now) {
+		if p.Host < v.self.Host && !p.Lost {
+			return false
+		}
+	}
+	return true
+}
 
 // Peers returns the other hosts in order of their names.
 func (v *View) Peers() []Peer {
@@ -143,6 +295,20 @@
 	return names
 }
 
+// Newest returns the newest change of a table that another host reports, and
+// the address of a host that has it: one of the own domain if there is one.
+func (v *View) Newest(t core.FeedTable) (version uint64, address string) {
+	near := false
+	for _, p := range v.Peers() {
+		change := p.Changes[t]
+		mate := p.Domain == v.cfg.Self.Domain
+		if p.Alive && (change > version || change == version && mate && !near) {
+			version, address, near = change, p.Address, mate
+		}
+	}
+	return version, address
+}
+
 // Totals is what the other hosts report together.
 type Totals struct {
 	Demand   map[core.WorkspaceID]float64
@@ -160,7 +326,7 @@
 	defer v.mu.Unlock()
 	t := Totals{Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.ServerID]int)}
 	for _, p := range v.peers {
-		if now >= p.at+forget || !p.heard && now >= p.at+silence {
+		if now >= p.at+forget || !p.heard && !v.isNew(now, p) {
 			continue
 		}
 		t.Hosts++
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,6 +23,10 @@
 	}
 }
 
+func hear(v *gossip.View, b gossip.Beat) {
+	v.Hear(gossip.Digest{Domain: b.Domain, Beats: []gossip.Beat{b}})
+}
+
 func alive(v *gossip.View) []core.HostID {
 	var names []core.HostID
 	for _, p := range v.Peers() {
@@ -36,7 +41,7 @@
 func TestSilentHostIsNotAlive(t *testing.T) {
 	clock := timer.NewManual()
 	v := view(clock)
-	v.Hear(beat("a", 1, 1))
+	hear(v, beat("a", 1, 1))
 	require.Equal(t, []core.HostID{"a"}, alive(v))
 	require.Equal(t, []core.HostID{"a", "b"}, v.Mates("d"))
 	clock.Advance(2 * time.Second)
@@ -49,7 +54,7 @@
 func TestSilentHostKeepsItsDemand(t *testing.T) {
 	clock := timer.NewManual()
 	v := view(clock)
-	v.Hear(beat("a", 1, 1))
+	hear(v, beat("a", 1, 1))
 	clock.Advance(5 * time.Second)
 	got := v.Totals()
 	require.InDelta(t, 3, got.Demand["w"], 1e-9)
@@ -62,15 +67,15 @@
 func TestLateBeatsAreIgnored(t *testing.T) {
 	clock := timer.NewManual()
 	v := view(clock)
-	v.Hear(beat("a", 2, 5))
+	hear(v, beat("a", 2, 5))
 	for _, old := range []gossip.Beat{beat("a", 2, 4), beat("a", 1, 9)} {
 		old.Ready = false
-		v.Hear(old)
+		hear(v, old)
 		require.True(t, v.Peers()[0].Ready)
 	}
 	again := beat("a", 3, 1) // a new run of the host
 	again.Ready = false
-	v.Hear(again)
+	hear(v, again)
 	require.False(t, v.Peers()[0].Ready)
 }
 
@@ -83,9 +88,8 @@
 	v.Meet(beat("b", 1, 0)) // this host itself
 	require.Equal(t, 1, v.Totals().Unheard)
 	require.Empty(t, alive(v))
-	_, targets := v.Targets()
-	require.Equal(t, []string{"10.0.0.a"}, targets)
-	v.Hear(beat("a", 1, 1))
+	require.Equal(t, []string{"10.0.0.a"}, v.Tick(gossip.Beat{Host: "b", Domain: "d"})[0].Addresses)
+	hear(v, beat("a", 1, 1))
 	require.Zero(t, v.Totals().Unheard)
 	v.Meet(beat("c", 1, 0))
 	clock.Advance(2 * time.Second)
@@ -96,12 +100,161 @@
 func TestSilentHostGetsSomeBeats(t *testing.T) {
 	clock := timer.NewManual()
 	v := view(clock)
-	v.Hear(beat("a", 1, 1))
+	hear(v, beat("a", 1, 1))
 	clock.Advance(time.Minute)
 	sent := 0
 	for range 20 {
-		_, targets := v.Targets()
-		sent += len(targets)
+		sent += len(v.Tick(gossip.Beat{Host: "b", Domain: "d"})[0].Addresses)
 	}
 	require.Equal(t, 4, sent)
 }
+
+// fleet is a set of hosts in several domains whose messages arrive at once.
+type fleet struct {
+	clock *timer.Manual
+	views map[string]*gossip.View // by address
+	hosts []gossip.Beat
+	down  map[string]bool
+	lost  map[core.HostID]bool
+	far   int // messages between domains
+}
+
+func newFleet(domains, each int) *fleet {
+	f := &fleet{clock: timer.NewManual(), views: make(map[string]*gossip.View), down: make(map[string]bool), lost: make(map[core.HostID]bool)}
+	for d := range domains {
+		for n := range each {
+			name := fmt.Sprintf("%c%d", 'a'+d, n)
+			f.hosts = append(f.hosts, gossip.Beat{Host: core.HostID(name), Domain: core.DomainID(name[:1]), Address: name, Ready: true})
+		}
+	}
+	for _, b := range f.hosts {
+		v := gossip.New(gossip.Config{Timer: f.clock, Self: b})
+		for _, other := range f.hosts {
+			v.Meet(other)
+		}
+		f.views[b.Address] = v
+	}
+	return f
+}
+
+func (f *fleet) deliver(from gossip.Beat, d gossip.Digest, addresses []string) {
+	for _, a := range addresses {
+		if f.down[a] {
+			continue
+		}
+		if a[:1] != from.Address[:1] {
+			f.far++
+		}
+		onward := f.views[a].Hear(d)
+		if len(onward) > 0 {
+			passed := d
+			passed.Passed = true
+			f.deliver(gossip.Beat{Address: a}, passed, onward)
+		}
+	}
+}
+
+func (f *fleet) run(length time.Duration) {
+	for end := f.clock.Now() + length; f.clock.Now() < end; f.clock.Advance(400 * time.Millisecond) {
+		for _, b := range f.hosts {
+			if f.down[b.Address] {
+				continue
+			}
+			own := b
+			own.Lost = f.lost[b.Host]
+			for _, m := range f.views[b.Address].Tick(own) {
+				f.deliver(b, m.Digest, m.Addresses)
+			}
+		}
+	}
+}
+
+// alive returns how many hosts see others as they are.
+func (f *fleet) wrong() (wrong int) {
+	for a, v := range f.views {
+		if f.down[a] {
+			continue
+		}
+		for _, p := range v.Peers() {
+			if p.Alive == f.down[p.Address] {
+				wrong++
+			}
+		}
+	}
+	return wrong
+}
+
+func TestAllHostsHearOfAll(t *testing.T) {
+	f := newFleet(6, 11)
+	f.run(4 * time.Second)
+	require.Zero(t, f.wrong())
+	// Between domains, messages grow with the domains and not with the
+	// square of the hosts.
+	f.far = 0
+	f.run(4 * time.Second)
+	require.LessOrEqual(t, f.far, 10*6*5*2)
+}
+
+// Hosts that die, lead or not, must be noticed, and those that live must not
+// be taken for dead meanwhile.
+func TestDeadHostsAreNoticed(t *testing.T) {
+	for _, down := range [][]string{{"a0"}, {"a0", "a1", "b0"}, {"c1"}, {"a0", "a1", "a2", "a3"}} {
+		f := newFleet(4, 4)
+		f.run(4 * time.Second)
+		for _, a := range down {
+			f.down[a] = true
+		}
+		for range 12 {
+			f.run(400 * time.Millisecond)
+			for a, v := range f.views {
+				for _, p := range v.Peers() {
+					if !f.down[a] && !f.down[p.Address] {
+						require.True(t, p.Alive, "%s takes %s for dead while %v are", a, p.Host, down)
+					}
+				}
+			}
+		}
+		f.run(2 * time.Second)
+		require.Zero(t, f.wrong(), "%v", down)
+		f.down = map[string]bool{}
+		f.run(10 * time.Second)
+		require.Zero(t, f.wrong(), "%v are back", down)
+	}
+}
+
+// One host of each domain follows the store: the first that it serves.
+func TestOneHostOfADomainFollowsTheStore(t *testing.T) {
+	follows := func(f *fleet) (names []string) {
+		for _, b := range f.hosts {
+			if !f.down[b.Address] && f.views[b.Address].Follows() {
+				names = append(names, b.Address)
+			}
+		}
+		return names
+	}
+	f := newFleet(2, 3)
+	f.run(4 * time.Second)
+	require.Equal(t, []string{"a0", "b0"}, follows(f))
+	f.lost["a0"] = true
+	f.run(time.Second)
+	require.Equal(t, []string{"a0", "a1", "b0"}, follows(f), "a host that the store turns away tries on")
+	f.down["b0"] = true
+	f.run(2 * time.Second)
+	require.Equal(t, []string{"a0", "a1", "b1"}, follows(f))
+}
+
+func TestNewestChangeIsFetchedNearby(t *testing.T) {
+	f := newFleet(2, 2)
+	for i := range f.hosts {
+		f.hosts[i].Changes = map[core.FeedTable]uint64{core.FeedServers: 7}
+	}
+	f.run(4 * time.Second)
+	version, from := f.views["b1"].Newest(core.FeedServers)
+	require.EqualValues(t, 7, version)
+	require.Equal(t, "b0", from)
+	f.hosts[0].Changes = map[core.FeedTable]uint64{core.FeedServers: 9}
+	f.run(time.Second)
+	version, from = f.views["b1"].Newest(core.FeedServers)
+	require.EqualValues(t, 9, version)
+	require.Equal(t, "a0", from)
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -23,6 +23,10 @@
 	// outageEcho is how long after the last failed call a removal may still
 	// be due to the outage. Entries that lapsed are back about 2 s after it.
 	outageEcho = 2 * time.Second
+	// idlePause is the time between two looks whether to follow the store.
+	idlePause = 100 * time.Millisecond
+	// historyRows bounds the changes that are kept for other hosts.
+	historyRows = 512
 )
 
 // Config configures a Mirror. Feed, Timer and Changed are required.
@@ -39,14 +43,21 @@
 	// Reached is called when the store is lost or regained; err is nil when
 	// it is regained.
 	Reached func(err error)
+	// Follows reports whether this host follows the store, or learns from a
+	// host that does. Nil means that it does. The first read and those after
+	// a failed one are always its own.
+	Follows func() bool
 }
 
-// Copy is the content of a mirror. AsOf is the version of the store up to
-// which it is complete; Change is the version of its newest change.
+// Copy is the content of a mirror, or what changed in it after version
+// After. AsOf is the version of the store up to which it is complete; Change
+// is the version of its newest change.
 type Copy struct {
 	Rows   []core.Record
+	After  uint64 // 0 for the whole content
 	AsOf   uint64
 	Change uint64
+	Lapsed bool // the store was out of reach a moment ago
 }
 
 // Mirror is a copy of one table. It is safe for concurrent use.
@@ -55,6 +66,8 @@
 
 	mu       sync.Mutex
 	rows     map[string]core.Record
+	history  []core.Record // newest changes, oldest first
+	since    uint64        // history holds all changes after it
 	asOf     uint64
 	change   uint64
 	failing  bool
@@ -84,51 +97,71 @@
 	return m.failing
 }
 
-// Copy returns the content.
-func (m *Mirror) Copy() Copy {
+// Copy returns what changed after a version, or the whole content if that is
+// not known any more.
+func (m *Mirror) Copy(after uint64) Copy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Copy{AsOf: m.asOf, Change: m.change, Rows: make([]core.Record, 0, len(m.rows))}
+	c := Copy{AsOf: m.asOf, Change: m.change, Lapsed: m.failing || m.isEcho()}
+	if after > 0 && after >= m.since {
+		c.After = after
+		for _, r := range m.history {
+			if r.Version > after {
+				c.Rows = append(c.Rows, r)
+			}
+		}
+		return c
+	}
 	for _, r := range m.rows {
 		c.Rows = append(c.Rows, r)
 	}
 	return c
 }
 
-// Adopt replaces the content by a newer copy of another host and follows
-// the store from there. An older copy is ignored.
+// isEcho reports whether a removal may still be due to an outage.
+func (m *Mirror) isEcho() bool {
+	return m.failedAt > 0 && m.cfg.Timer.Now() < m.failedAt+outageEcho
+}
+
+// Adopt takes in a newer copy of another host and follows the store from
+// there. An older copy, or changes that don't join on, are ignored.
 func (m *Mirror) Adopt(c Copy) bool {
 	m.apply.Lock()
 	defer m.apply.Unlock()
 	m.mu.Lock()
-	m.change = max(m.change, c.Change)
-	if c.AsOf <= m.asOf {
+	if c.AsOf <= m.asOf || c.After > m.asOf || len(c.Rows) > 0 && m.asOf == 0 && c.After > 0 {
 		m.mu.Unlock()
 		return false
 	}
-	changes := m.replace(core.Records{Rows: c.Rows, Version: c.AsOf})
+	var changes []core.Record
+	got := core.Records{Rows: c.Rows, Version: c.AsOf}
+	if c.After > 0 {
+		changes = m.merge(got)
+	} else {
+		changes = m.replace(got)
+	}
+	m.change = max(m.change, c.Change)
 	if m.cancel != nil {
 		m.cancel()
 	}
 	m.mu.Unlock()
-	m.cfg.Changed(changes, false)
-	return true
-}
-
-// Recheck ends the call under way, so that a connection that may have gone
-// silent is not waited for.
-func (m *Mirror) Recheck() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cancel != nil {
-		m.cancel()
+	if len(changes) > 0 {
+		m.cfg.Changed(changes, c.Lapsed)
 	}
+	return true
 }
 
 // Run lists and follows the table until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := retryPause
 	for ctx.Err() == nil {
+		if !m.follows() {
+			select {
+			case <-ctx.Done():
+			case <-m.cfg.Timer.After(idlePause):
+			}
+			continue
+		}
 		err := m.step(ctx)
 		if err == nil {
 			pause = retryPause
@@ -143,6 +176,14 @@
 	}
 }
 
+// follows reports whether the next read is this host's own.
+func (m *Mirror) follows() bool {
+	m.mu.Lock()
+	own := m.asOf == 0 || m.failing
+	m.mu.Unlock()
+	return own || m.cfg.Follows == nil || m.cfg.Follows()
+}
+
 // step makes one call and takes in its answer.
 func (m *Mirror) step(ctx context.Context) error {
 	call, cancel := context.WithCancel(ctx)
@@ -168,7 +209,7 @@
 // failed takes in that a call failed. A call that was ended from outside
 // says nothing of the store.
 func (m *Mirror) failed(ctx, call context.Context, err error) error {
-	if ctx.Err() == nil && call.Err() != nil {
+	if ctx.Err() != nil || call.Err() != nil {
 		return nil
 	}
 	m.mu.Lock()
@@ -178,7 +219,7 @@
 		m.asOf = 0
 		return nil
 	}
-	if !m.failing && ctx.Err() == nil {
+	if !m.failing {
 		m.cfg.Reached(err)
 	}
 	m.failing, m.failedAt = true, m.cfg.Timer.Now()
@@ -200,7 +241,7 @@
 		m.mu.Unlock()
 		return
 	}
-	lapsed := m.failedAt > 0 && now < m.failedAt+outageEcho
+	lapsed := m.isEcho()
 	var changes []core.Record
 	if after == 0 {
 		changes = m.replace(got)
@@ -232,6 +273,7 @@
 		}
 	}
 	m.asOf = got.Version
+	m.history, m.since = nil, got.Version
 	return changes
 }
 
@@ -251,5 +293,10 @@
 		m.change = max(m.change, r.Version)
 	}
 	m.asOf = max(m.asOf, got.Version)
+	m.history = append(m.history, changes...)
+	if over := len(m.history) - historyRows; over > 0 {
+		m.since = m.history[over-1].Version
+		m.history = append([]core.Record(nil), m.history[over:]...)
+	}
 	return changes
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -154,7 +154,7 @@
 	l := newLab(records(10, row("a", 3)), down, down, records(11, row("b", 11)))
 	l.play(t)
 	require.Equal(t, []uint64{0, 10, 10, 10, 11}, l.feed.after)
-	require.Len(t, l.mirror.Copy().Rows, 2)
+	require.Len(t, l.mirror.Copy(0).Rows, 2)
 }
 
 // A host that is turned away by the store learns from another host; an
@@ -177,3 +177,55 @@
 	l.play(t)
 	require.Equal(t, []event{{key: "a"}, {key: "b"}}, l.events)
 }
+
+// Hosts that do not follow the store themselves live on the changes that
+// others pass on; a gap between two of them must show.
+func TestPassesOnChanges(t *testing.T) {
+	from := newLab(records(10, row("a", 3), row("b", 4)), records(12, row("a", 12)), records(15, gone("b", 15)))
+	from.play(t)
+	to := newLab(records(10, row("a", 3), row("b", 4)))
+	to.play(t)
+	changes := from.mirror.Copy(10)
+	require.Equal(t, []core.Record{row("a", 12), gone("b", 15)}, changes.Rows)
+	require.True(t, to.mirror.Adopt(changes))
+	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "a"}, {key: "b", removed: true}}, to.events)
+	require.False(t, to.mirror.Adopt(changes), "nothing new")
+
+	behind := newLab(records(5, row("a", 3)))
+	behind.play(t)
+	require.False(t, behind.mirror.Adopt(from.mirror.Copy(12)), "changes between 5 and 12 are missing")
+	whole := from.mirror.Copy(5) // older than the history: the whole content
+	require.Zero(t, whole.After)
+	require.True(t, behind.mirror.Adopt(whole))
+	require.Len(t, behind.mirror.Copy(0).Rows, 1)
+	empty := newLab()
+	require.False(t, empty.mirror.Adopt(changes), "changes are no content")
+}
+
+// A host that does not follow the store must read it once, and again after
+// a failed call, and otherwise leave it alone.
+func TestLeavesTheStoreToOthers(t *testing.T) {
+	l := newLab(records(10, row("a", 3)), records(11, row("b", 11)))
+	follows := false
+	l.mirror = mirror.New(mirror.Config{
+		Feed: l.feed, Timer: l.clock, Wait: time.Second, Reached: func(error) {}, Changed: func([]core.Record, bool) {},
+		Follows: func() bool { return follows },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.mirror.Run(ctx)
+	}()
+	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf == 10 }, 10*time.Second, time.Millisecond)
+	for range 50 {
+		l.clock.Advance(100 * time.Millisecond)
+		time.Sleep(100 * time.Microsecond)
+	}
+	cancel()
+	<-done
+	require.Equal(t, []uint64{0}, l.feed.after)
+	follows = true
+	l.play(t)
+	require.Equal(t, []uint64{0, 10, 11}, l.feed.after)
+}
--- a/io/beacon/beacon.go
+++ b/io/beacon/beacon.go
@@ -19,8 +19,9 @@
 type Config struct {
 	Address string // IP address of this host
 	Port    int    // the same on all hosts
-	Hear    func(gossip.Beat)
-	Log     logrus.FieldLogger
+	// Hear takes in a digest and returns the addresses to pass it on to.
+	Hear func(gossip.Digest) []string
+	Log  logrus.FieldLogger
 }
 
 // Beacon sends and receives beats. It is safe for concurrent use.
@@ -51,19 +52,24 @@
 			// of the next read.
 			continue
 		}
-		beat, err := DecodeBeat(buffer[:n])
+		digest, err := DecodeDigest(buffer[:n])
 		if err != nil {
 			b.cfg.Log.WithError(err).WithField("from", from).Warn("beacon: datagram ignored")
 			continue
 		}
-		b.cfg.Hear(beat)
+		if addresses := b.cfg.Hear(digest); len(addresses) > 0 {
+			digest.Passed = true
+			if err := b.Send(digest, addresses); err != nil {
+				b.cfg.Log.WithError(err).Debug("beacon: digest was not passed on to all hosts")
+			}
+		}
 	}
 }
 
-// Send sends a beat to hosts by their IP addresses. Datagrams may be lost;
+// Send sends a digest to hosts by their IP addresses. Datagrams may be lost;
 // the next beat makes up for it.
-func (b *Beacon) Send(beat gossip.Beat, addresses []string) error {
-	raw, err := EncodeBeat(beat)
+func (b *Beacon) Send(d gossip.Digest, addresses []string) error {
+	raw, err := EncodeDigest(d)
 	if err != nil {
 		return err
 	}
--- a/io/beacon/beat.go
+++ b/io/beacon/beat.go
@@ -1,6 +1,8 @@
 package beacon
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"azurering/core"
@@ -17,16 +19,64 @@
 	Boot     uint64
 	Count    uint64
 	Ready    bool
+	Lost     bool
+	Age      int64  // milliseconds
 	Operator uint64 // newest change of the operators' table
 	Servers  uint64 // newest change of the servers' table
 	Demand   map[string]float32
 	InFlight map[string]uint16
 }
 
-// EncodeBeat returns the datagram of a beat.
+// digestWire is a datagram.
+type digestWire struct {
+	_      struct{} `cbor:",toarray"`
+	Domain string
+	Passed bool
+	Beats  []beatWire
+}
+
+// EncodeBeat returns the entry of a host in the store's list.
 func EncodeBeat(b gossip.Beat) ([]byte, error) {
+	raw, err := cbor.Marshal(toWire(b))
+	return raw, codes.Wrap(err, codes.Internal, "beacon: beat cannot be encoded")
+}
+
+// DecodeBeat decodes the entry of a host. Errors carry PeerFrame.
+func DecodeBeat(raw []byte) (gossip.Beat, error) {
+	var w beatWire
+	if err := cbor.Unmarshal(raw, &w); err != nil {
+		return gossip.Beat{}, codes.Wrap(err, codes.PeerFrame, "beacon: beat cannot be decoded")
+	}
+	return fromWire(w), nil
+}
+
+// EncodeDigest returns the datagram of a digest.
+func EncodeDigest(d gossip.Digest) ([]byte, error) {
+	w := digestWire{Domain: string(d.Domain), Passed: d.Passed, Beats: make([]beatWire, 0, len(d.Beats))}
+	for _, b := range d.Beats {
+		w.Beats = append(w.Beats, toWire(b))
+	}
+	raw, err := cbor.Marshal(w)
+	return raw, codes.Wrap(err, codes.Internal, "beacon: digest cannot be encoded")
+}
+
+// DecodeDigest decodes a datagram. Errors carry PeerFrame.
+func DecodeDigest(raw []byte) (gossip.Digest, error) {
+	var w digestWire
+	if err := cbor.Unmarshal(raw, &w); err != nil {
+		return gossip.Digest{}, codes.Wrap(err, codes.PeerFrame, "beacon: digest cannot be decoded")
+	}
+	d := gossip.Digest{Domain: core.DomainID(w.Domain), Passed: w.Passed, Beats: make([]gossip.Beat, 0, len(w.Beats))}
+	for _, b := range w.Beats {
+		d.Beats = append(d.Beats, fromWire(b))
+	}
+	return d, nil
+}
+
+func toWire(b gossip.Beat) beatWire {
 	w := beatWire{
 		Host: string(b.Host), Domain: string(b.Domain), Address: b.Address, Boot: b.Boot, Count: b.Count, Ready: b.Ready,
+		Lost: b.Lost, Age: b.Age.Milliseconds(),
 		Operator: b.Changes[core.FeedOperator], Servers: b.Changes[core.FeedServers],
 		Demand: make(map[string]float32, len(b.Demand)), InFlight: make(map[string]uint16, len(b.InFlight)),
 	}
@@ -36,18 +86,13 @@
 	for id, n := range b.InFlight {
 		w.InFlight[string(id)] = uint16(min(n, 1<<16-1))
 	}
-	raw, err := cbor.Marshal(w)
-	return raw, codes.Wrap(err, codes.Internal, "beacon: beat cannot be encoded")
+	return w
 }
 
-// DecodeBeat decodes a datagram. Errors carry PeerFrame.
-func DecodeBeat(raw []byte) (gossip.Beat, error) {
-	var w beatWire
-	if err := cbor.Unmarshal(raw, &w); err != nil {
-		return gossip.Beat{}, codes.Wrap(err, codes.PeerFrame, "beacon: beat cannot be decoded")
-	}
+func fromWire(w beatWire) gossip.Beat {
 	b := gossip.Beat{
 		Host: core.HostID(w.Host), Domain: core.DomainID(w.Domain), Address: w.Address, Boot: w.Boot, Count: w.Count, Ready: w.Ready,
+		Lost: w.Lost, Age: time.Duration(max(w.Age, 0)) * time.Millisecond,
 		Changes:  map[core.FeedTable]uint64{core.FeedOperator: w.Operator, core.FeedServers: w.Servers},
 		Demand:   make(map[core.WorkspaceID]float64, len(w.Demand)),
 		InFlight: make(map[core.ServerID]int, len(w.InFlight)),
@@ -58,5 +103,5 @@
 	for id, n := range w.InFlight {
 		b.InFlight[core.ServerID(id)] = int(n)
 	}
-	return b, nil
+	return b
 }
--- a/io/beacon/copy.go
+++ b/io/beacon/copy.go
@@ -31,16 +31,20 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	Removed bool
 }
 
 type copyWire struct {
 	_      struct{} `cbor:",toarray"`
 	Rows   []recordWire
+	After  uint64
 	AsOf   uint64
 	Change uint64
+	Lapsed bool
 }
 
-// CopyHandler serves the copies of the followed tables to other hosts.
+// CopyHandler serves the followed tables, or what changed in them after a
+// version, to other hosts.
 func CopyHandler(tables map[core.FeedTable]*mirror.Mirror) http.Handler {
 	g := gin.New()
 	g.GET(copyPath+":table", func(c *gin.Context) {
@@ -54,7 +58,8 @@
 			return // Accept has answered
 		}
 		defer func() { _ = socket.CloseNow() }()
-		raw, err := encodeCopy(m.Copy())
+		after, _ := strconv.ParseUint(c.Query("after"), 10, 64) // 0, if missing, for the whole table
+		raw, err := encodeCopy(m.Copy(after))
 		if err != nil {
 			return
 		}
@@ -68,20 +73,20 @@
 }
 
 func encodeCopy(c mirror.Copy) ([]byte, error) {
-	w := copyWire{AsOf: c.AsOf, Change: c.Change, Rows: make([]recordWire, 0, len(c.Rows))}
+	w := copyWire{After: c.After, AsOf: c.AsOf, Change: c.Change, Lapsed: c.Lapsed, Rows: make([]recordWire, 0, len(c.Rows))}
 	for _, r := range c.Rows {
-		w.Rows = append(w.Rows, recordWire{Key: r.Key, Value: r.Value, Version: r.Version})
+		w.Rows = append(w.Rows, recordWire{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
 	}
 	raw, err := cbor.Marshal(w)
 	return raw, codes.Wrap(err, codes.Internal, "beacon: copy cannot be encoded")
 }
 
-// FetchCopy gets the copy of a table from another host. Errors carry
-// PeerDown or PeerFrame.
-func FetchCopy(ctx context.Context, address string, port int, t core.FeedTable) (mirror.Copy, error) {
+// FetchCopy gets what changed in a table after a version from another host.
+// Errors carry PeerDown or PeerFrame.
+func FetchCopy(ctx context.Context, address string, port int, t core.FeedTable, after uint64) (mirror.Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	url := "ws://" + net.JoinHostPort(address, strconv.Itoa(port)) + copyPath + string(t)
+	url := "ws://" + net.JoinHostPort(address, strconv.Itoa(port)) + copyPath + string(t) + "?after=" + strconv.FormatUint(after, 10)
 	socket, resp, err := websocket.Dial(ctx, url, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -99,9 +104,9 @@
 	if err := cbor.Unmarshal(raw, &w); err != nil {
 		return mirror.Copy{}, codes.Wrap(errors.WithStack(err), codes.PeerFrame, "beacon: copy cannot be decoded")
 	}
-	c := mirror.Copy{AsOf: w.AsOf, Change: w.Change, Rows: make([]core.Record, 0, len(w.Rows))}
+	c := mirror.Copy{After: w.After, AsOf: w.AsOf, Change: w.Change, Lapsed: w.Lapsed, Rows: make([]core.Record, 0, len(w.Rows))}
 	for _, r := range w.Rows {
-		c.Rows = append(c.Rows, core.Record{Key: r.Key, Value: r.Value, Version: r.Version})
+		c.Rows = append(c.Rows, core.Record{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
 	}
 	return c, nil
 }
