--- a/app/demo/demo.go
+++ b/app/demo/demo.go
@@ -56,6 +56,7 @@
 	if cfg.Out == nil {
 		cfg.Out = io.Discard
 	}
+	cfg.Out = &output{out: cfg.Out}
 	if cfg.Logs == nil {
 		cfg.Logs = io.Discard
 	}
