place, quota: one server an object; lend tokens between hosts

Causes: with three servers an object, hosts sent its requests to the second and third as soon as the first was full, which made all of them forget others. Change: the object's own server, another only where it answers sooner and less than 70% of the slots are busy; small bursts are held by a few hosts, and a host that runs out asks one with tokens to spare.

--- a/app/edge/beats.go
+++ b/app/edge/beats.go
@@ -68,6 +68,7 @@
 	b := gossip.Beat{
 		Host: h.cfg.Place.Name, Domain: h.cfg.Place.Domain, Address: h.cfg.Place.Address, Boot: h.boot,
 		Ready: h.isReady(), Changes: make(map[core.FeedTable]uint64), Demand: h.limiter.Demand(), InFlight: h.view.InFlight(),
+		Spare: h.limiter.Spare(),
 	}
 	for table, m := range h.world.mirrors {
 		_, b.Changes[table] = m.Versions()
@@ -91,7 +92,7 @@
 		h.sendBeats()
 		others := h.members.Totals()
 		h.limiter.SetOthers(quota.Others{Demand: others.Demand, Hosts: others.Hosts, Unheard: others.Unheard})
-		h.budget.SetHosts(others.Hosts + 1)
+		h.budget.SetHosts(len(others.Hosts) + 1)
 		h.view.SetRemote(others.InFlight)
 		h.view.Expire()
 	}
--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -103,7 +103,9 @@
 	return gossip.New(gossip.Config{Timer: t, Self: self})
 }
 
-func newLimiter(t core.Timer) *quota.Limiter { return quota.New(quota.Config{Timer: t}) }
+func newLimiter(cfg Config, t core.Timer) *quota.Limiter {
+	return quota.New(quota.Config{Timer: t, Host: cfg.Place.Name, Slack: cfg.Place.Bounds.RateSlack})
+}
 
 func newBudget(cfg Config, t core.Timer) *retry.Budget {
 	b := cfg.Place.Bounds
@@ -125,5 +127,8 @@
 }
 
 func newProxy(t core.Timer, pool *conns.Pool, view *place.View, l *quota.Limiter, b *retry.Budget, w *world) *proxy.Proxy {
-	return proxy.New(proxy.Config{Timer: t, Backends: pool, View: view, Limiter: l, Budget: b, Table: w.table.Load})
+	return proxy.New(proxy.Config{
+		Timer: t, Backends: pool, View: view, Limiter: l, Budget: b, Table: w.table.Load,
+		Borrow: func(ctx context.Context, workspace core.WorkspaceID) { w.borrow(ctx, workspace) },
+	})
 }
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"azurering/core"
 	"azurering/core/gossip"
@@ -80,7 +81,7 @@
 func (h *host) start(_ context.Context) error {
 	var err error
 	h.beacon, err = beacon.Listen(beacon.Config{
-		Address: h.cfg.Place.Address, Port: h.cfg.Place.Peer, Hear: h.hear, Log: h.cfg.Log,
+		Address: h.cfg.Place.Address, Port: h.cfg.Place.Peer, Hear: h.hear, Give: h.limiter.Give, Log: h.cfg.Log,
 	})
 	if err != nil {
 		return err
@@ -95,6 +96,7 @@
 	h.front = front.New(front.Config{
 		Timer: h.timer, Dialect: h.cfg.Dialect, Serve: h.serve, Limits: h.world.limits, Log: h.cfg.Log,
 	})
+	h.world.borrow = h.borrow
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go h.beacon.Run()
@@ -174,6 +176,22 @@
 	return g
 }
 
+// borrow asks another host for tokens of a workspace.
+func (h *host) borrow(ctx context.Context, w core.WorkspaceID) {
+	from := h.members.Spare(w)
+	if from == "" {
+		return
+	}
+	want := h.limiter.Want(w)
+	if want == 0 {
+		return
+	}
+	given, err := h.beacon.Ask(ctx, from, w, want)
+	h.limiter.Receive(w, given)
+	h.cfg.Log.WithFields(logrus.Fields{"event": "tokens", "workspace": w, "from": from, "want": want, "given": given}).
+		WithError(err).Debug("edge: tokens asked for")
+}
+
 func (h *host) serve(ctx context.Context, c *core.Call) *core.Reply {
 	reply, record := h.proxy.Serve(ctx, c)
 	h.record.request(c, record, ctx.Err() != nil)
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -50,6 +50,9 @@
 	Changes  map[core.FeedTable]uint64
 	Demand   map[core.WorkspaceID]float64
 	InFlight map[core.ServerID]int
+	// Spare holds the tokens of each workspace's rate that others may ask
+	// for.
+	Spare map[core.WorkspaceID]int
 	// Age is how long ago the sender of a digest heard the beat.
 	Age time.Duration
 }
@@ -309,12 +312,26 @@
 	return version, address
 }
 
+// Spare returns the address of the host that others may ask for tokens of a
+// workspace: one of the own domain if there is one, and the one with the
+// most. It is empty if no host has any.
+func (v *View) Spare(w core.WorkspaceID) string {
+	best, near, address := 0, false, ""
+	for _, p := range v.Peers() {
+		mate := p.Domain == v.cfg.Self.Domain
+		if spare := p.Spare[w]; p.Alive && spare > 0 && (mate && !near || mate == near && spare > best) {
+			best, near, address = spare, mate, p.Address
+		}
+	}
+	return address
+}
+
 // Totals is what the other hosts report together.
 type Totals struct {
 	Demand   map[core.WorkspaceID]float64
 	InFlight map[core.ServerID]int
-	Hosts    int // other hosts that may take requests
-	Unheard  int // those of them without a beat yet
+	Hosts    []core.HostID // other hosts that may take requests
+	Unheard  int           // how many of them have not sent a beat yet
 }
 
 // Totals sums up what the other hosts report. Hosts that fell silent a
@@ -329,7 +346,7 @@
 		if now >= p.at+forget || !p.heard && !v.isNew(now, p) {
 			continue
 		}
-		t.Hosts++
+		t.Hosts = append(t.Hosts, p.Host)
 		if !p.heard {
 			t.Unheard++
 		}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -16,14 +16,11 @@
 	// between domains and regions cost.
 	sameDomain = 3.0
 	sameRegion = 3.0
-	// replicas is how many servers an object is spread over before others
-	// take its requests. Servers remember some objects more than they own.
-	replicas = 3
 	// coldFactor is how many times longer a server works on an object that
 	// it has not handled recently.
 	coldFactor = 3.0
 	// spillBusy is the share of busy slots in a service above which no
-	// request goes to a server beyond its object's replicas: there it would
+	// request goes to another server than its object's own: there it would
 	// take the time of several others.
 	spillBusy = 0.7
 	// defaultWork is the assumed time of a request before the first answer.
@@ -150,13 +147,15 @@
 	return &Lease{Instance: s.Instance, view: v, server: s, start: now, queued: queued}, nil
 }
 
-// pick returns the first of the object's servers with a free slot, or else
-// the server that is expected to answer first, if that is soon enough.
+// pick returns the server that is expected to answer first, if that is soon
+// enough. An object's own server is the first that is neither cold nor
+// avoided; the others are slower for it and only taken while there is room.
 func (v *View) pick(now time.Duration, list []candidate, ask Ask) *server {
 	var best *server
 	shortest := ask.Patience
 	work := v.work(ask.Service)
-	near := 0 // replicas seen so far
+	owned := false // the object's own server was seen
+	full := ask.Sticky && v.isBusy(now, list)
 	for _, c := range list {
 		if c.cold {
 			if v.takeCold(now, c.server) {
@@ -164,26 +163,25 @@
 			}
 			continue
 		}
-		near++
+		other := ask.Sticky && owned
+		if other && full {
+			break
+		}
+		owned = true
 		if now < c.shedUntil {
 			continue
 		}
-		beyond := ask.Sticky && near > replicas
-		if beyond && near == replicas+1 && v.isBusy(now, list) {
-			break
-		}
-		ahead := c.busy(now) - float64(c.Slots) + 1
-		if ahead <= 0 && !beyond {
+		ahead := c.busy(now) - float64(c.Slots) + 1 // requests that go before this one
+		if ahead <= 0 && !other {
 			return c.server
 		}
-		took := work
-		if beyond {
+		took := work + time.Duration(max(ahead, 0)/float64(c.Slots)*float64(work))
+		if other {
 			if ahead > 0 {
 				continue
 			}
 			took = time.Duration(coldFactor * float64(work))
 		}
-		took += time.Duration(max(ahead, 0) / float64(c.Slots) * float64(work))
 		if took < shortest {
 			best, shortest = c.server, took
 		}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -48,6 +48,9 @@
 	Budget   *retry.Budget
 	// Table returns the table in force, or nil before the first one.
 	Table func() *routes.Table
+	// Borrow asks another host for tokens of a workspace's rate and returns
+	// when there is an answer.
+	Borrow func(context.Context, core.WorkspaceID)
 }
 
 // Record says how a request was decided, for logs and metrics.
@@ -102,7 +105,7 @@
 }
 
 func (j *job) run(ctx context.Context) (*core.Reply, error) {
-	if err := j.admit(); err != nil {
+	if err := j.admit(ctx); err != nil {
 		return nil, err
 	}
 	j.record.Service = j.splits.next(j.rule)
@@ -118,7 +121,7 @@
 }
 
 // admit finds the route and workspace and takes the request from the rate.
-func (j *job) admit() error {
+func (j *job) admit(ctx context.Context) error {
 	j.table = j.cfg.Table()
 	if j.table == nil {
 		return codes.New(codes.NoConfig, "proxy: no configuration yet")
@@ -144,7 +147,12 @@
 		return codes.New(codes.KeyUnknown, "proxy: unknown key")
 	}
 	j.record.Workspace = j.holder.Name
-	if wait, ok := j.cfg.Limiter.Take(j.holder.Name); !ok {
+	wait, ok := j.cfg.Limiter.Take(j.holder.Name)
+	if !ok {
+		j.cfg.Borrow(ctx, j.holder.Name)
+		wait, ok = j.cfg.Limiter.Take(j.holder.Name)
+	}
+	if !ok {
 		return &limited{error: codes.New(codes.RateExceeded, "proxy: workspace is over its rate"), wait: wait}
 	}
 	return nil
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -3,7 +3,8 @@
 //
 // Each host has a token bucket per workspace that gets a share of the rate
 // and burst. The shares follow the demand that the hosts report to one
-// another; a host that is not heard keeps the share that it last had.
+// another; a host that is not heard keeps the share that it last had. A host
+// that runs out asks one that has tokens to spare.
 package quota
 
 import (
@@ -11,26 +12,45 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"azurering/core"
 )
 
 const (
 	// demandLife is the time constant of the demand's moving average.
-	demandLife = time.Second
+	demandLife = 3 * time.Second
 	// floorShare is the part of the rate that is divided evenly, so that a
 	// host whose demand rises has something before others hear of it.
 	floorShare = 0.25
+	// wholeBurst is the least part of a burst that a host can make use of:
+	// a few requests in a row.
+	wholeBurst = 4
+	// heldShare is the part of a small rate that goes to its holders. The
+	// rest follows the demand, for hosts that are cut off from them.
+	heldShare = 0.85
 	// margin keeps the sum of the shares below the rate while reports of
 	// demand are on their way.
 	margin = 0.97
+	// excessLife is the time constant with which tokens beyond the depth go.
+	excessLife = time.Second
 	// unknownHosts is how many hosts share the rate before this host knows
 	// how many there are.
 	unknownHosts = 50
+	// batchTime is the time whose demand one host asks another for: until
+	// the next report.
+	batchTime = 400 * time.Millisecond
+	// refusedPause is the pause after an answer without tokens.
+	refusedPause = 100 * time.Millisecond
 )
 
-// Config configures a Limiter. Timer is required.
+// Config configures a Limiter. Timer and Host are required.
 type Config struct {
 	Timer core.Timer
+	Host  core.HostID
+	// Slack is how many requests beyond its rate and burst a workspace may
+	// start at most. It lets each of a few hosts keep one whole token.
+	Slack float64
 }
 
 // Limiter holds the buckets of one host. It is safe for concurrent use.
@@ -39,17 +59,21 @@
 
 	mu      sync.Mutex
 	buckets map[core.WorkspaceID]*bucket
-	hosts   int  // hosts that may take requests, this one included
-	certain bool // all of them have reported their demand
+	names   []core.HostID // other hosts
+	hosts   int           // hosts that may take requests, this one included
+	certain bool          // all of them have reported their demand
 }
 
 type bucket struct {
+	name        core.WorkspaceID
 	rate, burst float64 // of all hosts together; rate 0 means no limit
 	share       float64
 	tokens      float64
 	at          time.Duration // when tokens and demand were brought up to date
 	demand      float64       // requests a second here
 	others      float64       // requests a second at other hosts
+	least       float64       // depth at least
+	askAfter    time.Duration // when other hosts may be asked again
 }
 
 // New returns a limiter without workspaces.
@@ -71,13 +95,16 @@
 	for name, h := range holders {
 		b := l.buckets[name]
 		if b == nil {
-			b = &bucket{at: now}
+			b = &bucket{name: name, at: now}
 			l.buckets[name] = b
 		}
 		b.refill(now)
+		lowered := b.burst > float64(h.Burst)/1000 || b.rate > float64(h.Rate)/1000
 		b.rate, b.burst = float64(h.Rate)/1000, float64(h.Burst)/1000
-		b.divide(l.hosts, l.certain)
-		b.tokens = min(b.tokens, b.depth())
+		l.divide(b)
+		if lowered {
+			b.tokens = min(b.tokens, b.depth())
+		}
 	}
 }
 
@@ -100,12 +127,74 @@
 	return time.Duration((1 - b.tokens) / (b.rate * b.share) * float64(time.Second)), false
 }
 
+// Want returns how many tokens to ask another host for, 0 for none. The next
+// question is due after the answer to this one, which Receive takes in.
+func (l *Limiter) Want(w core.WorkspaceID) float64 {
+	now := l.cfg.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[w]
+	if b == nil || now < b.askAfter {
+		return 0
+	}
+	b.askAfter = now + refusedPause
+	return 1 + math.Floor(b.demand*batchTime.Seconds())
+}
+
+// Receive takes in tokens that another host gave.
+func (l *Limiter) Receive(w core.WorkspaceID, tokens float64) {
+	now := l.cfg.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[w]
+	if b == nil || tokens <= 0 {
+		return
+	}
+	b.refill(now)
+	b.tokens += tokens
+	b.askAfter = now
+}
+
+// Give takes tokens for another host out of the bucket and returns how many.
+// They are gone here even if the answer is lost.
+func (l *Limiter) Give(w core.WorkspaceID, want float64) float64 {
+	now := l.cfg.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[w]
+	if b == nil || b.rate <= 0 || want <= 0 {
+		return 0
+	}
+	b.refill(now)
+	given := min(want, math.Floor(b.tokens))
+	b.tokens -= given
+	return given
+}
+
+// Spare returns the whole tokens of each workspace that others may ask for.
+func (l *Limiter) Spare() map[core.WorkspaceID]int {
+	now := l.cfg.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	spare := make(map[core.WorkspaceID]int, len(l.buckets))
+	for name, b := range l.buckets {
+		if b.rate <= 0 {
+			continue
+		}
+		b.refill(now)
+		if b.tokens >= 1 {
+			spare[name] = int(b.tokens)
+		}
+	}
+	return spare
+}
+
 // Return gives back the token of a request that no server ran.
 func (l *Limiter) Return(w core.WorkspaceID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[w]; b != nil {
-		b.tokens = min(b.tokens+1, b.depth())
+		b.tokens++
 	}
 }
 
@@ -127,8 +216,8 @@
 // Others is what is known of the other hosts.
 type Others struct {
 	Demand  map[core.WorkspaceID]float64 // requests a second of all of them together
-	Hosts   int                          // how many there are
-	Unheard int                          // those that have not reported yet
+	Hosts   []core.HostID                // those that may take requests
+	Unheard int                          // how many of them have not reported yet
 }
 
 // SetOthers takes in the demand at the other hosts. While some of them have
@@ -137,34 +226,76 @@
 	now := l.cfg.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts, l.certain = o.Hosts+1, o.Unheard == 0
+	l.names, l.hosts, l.certain = o.Hosts, len(o.Hosts)+1, o.Unheard == 0
 	for name, b := range l.buckets {
 		b.refill(now)
 		b.others = o.Demand[name]
-		b.divide(l.hosts, l.certain)
-		b.tokens = min(b.tokens, b.depth())
+		l.divide(b)
+	}
+}
+
+// divide sets the share of a bucket: an even part, and the rest by demand. A
+// burst that is too small to be cut into pieces for all hosts is held by a
+// few, whom the others ask.
+func (l *Limiter) divide(b *bucket) {
+	even := 1 / float64(l.hosts)
+	b.least = 0
+	if float64(l.hosts) <= l.cfg.Slack {
+		b.least = 1
+	}
+	if !l.certain {
+		b.share = even
+		return
+	}
+	byDemand := even
+	if total := b.demand + b.others; total > 0 {
+		byDemand = b.demand / total
+	}
+	if b.burst*even >= wholeBurst {
+		b.share = floorShare*even + (1-floorShare)*byDemand
+		return
+	}
+	b.share = (1 - heldShare) * byDemand
+	if holders := max(int(b.burst/wholeBurst), 1); l.rank(b.name) < holders {
+		b.share += heldShare / float64(holders)
 	}
 }
 
-// divide sets the share: an even part, and the rest by demand.
-func (b *bucket) divide(hosts int, certain bool) {
-	even := 1 / float64(hosts)
-	b.share = even
-	if total := b.demand + b.others; certain && total > 0 {
-		b.share = floorShare*even + (1-floorShare)*b.demand/total
+// rank returns how many hosts come before this one among those that hold the
+// burst of a workspace. All hosts rank one another alike.
+func (l *Limiter) rank(w core.WorkspaceID) int {
+	own, before := rankHash(w, l.cfg.Host), 0
+	for _, name := range l.names {
+		if rankHash(w, name) < own {
+			before++
+		}
 	}
+	return before
 }
 
-// depth returns the tokens that the bucket holds at most. It is at least
-// one, or the bucket could never be used.
-func (b *bucket) depth() float64 { return max(b.burst*b.share*margin, 1) }
+func rankHash(w core.WorkspaceID, h core.HostID) uint64 {
+	return xxhash.Sum64String(string(w) + "/" + string(h))
+}
+
+// depth returns the tokens to which the bucket fills up.
+func (b *bucket) depth() float64 { return max(b.burst*b.share*margin, b.least) }
 
+// refill adds the tokens since the last time. Those beyond the depth, which
+// were received or are left from a larger share, stay for a while.
 func (b *bucket) refill(now time.Duration) {
 	passed := (now - b.at).Seconds()
 	if passed <= 0 {
 		return
 	}
 	b.at = now
-	b.tokens = min(b.tokens+passed*b.rate*b.share*margin, b.depth())
 	b.demand *= math.Exp(-passed / demandLife.Seconds())
+	filled := b.tokens + passed*b.rate*b.share*margin
+	switch depth := b.depth(); {
+	case filled <= depth:
+		b.tokens = filled
+	case b.tokens <= depth:
+		b.tokens = depth
+	default:
+		b.tokens = depth + (b.tokens-depth)*math.Exp(-passed/excessLife.Seconds())
+	}
 }
--- a/core/rules.go
+++ b/core/rules.go
@@ -95,6 +95,7 @@
 	RetryRatio  float64       // retries a request, for all hosts together
 	RetryExtra  float64       // retries beyond the ratio in one RetryWindow
 	RetryWindow time.Duration
+	RateSlack   float64 // requests that a workspace may start beyond its rate and burst
 }
 
 // Place is where a host runs and what it learns at start.
--- a/io/beacon/beacon.go
+++ b/io/beacon/beacon.go
@@ -5,10 +5,13 @@
 import (
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"azurering/core"
+	"azurering/core/codes"
 	"azurering/core/gossip"
 )
 
@@ -21,6 +24,8 @@
 	Port    int    // the same on all hosts
 	// Hear takes in a digest and returns the addresses to pass it on to.
 	Hear func(gossip.Digest) []string
+	// Give takes tokens of a workspace out for another host.
+	Give func(w core.WorkspaceID, want float64) float64
 	Log  logrus.FieldLogger
 }
 
@@ -28,6 +33,10 @@
 type Beacon struct {
 	cfg    Config
 	socket *net.UDPConn
+
+	mu        sync.Mutex
+	asked     uint64
+	questions map[uint64]chan float64 // without an answer yet
 }
 
 // Listen opens the socket of a beacon.
@@ -36,7 +45,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "beacon: socket")
 	}
-	return &Beacon{cfg: cfg, socket: socket}, nil
+	return &Beacon{cfg: cfg, socket: socket, questions: make(map[uint64]chan float64)}, nil
 }
 
 // Run receives beats until the beacon is closed.
@@ -52,20 +61,43 @@
 			// of the next read.
 			continue
 		}
-		digest, err := DecodeDigest(buffer[:n])
-		if err != nil {
+		if err := b.take(buffer[:n], from); err != nil {
 			b.cfg.Log.WithError(err).WithField("from", from).Warn("beacon: datagram ignored")
-			continue
-		}
-		if addresses := b.cfg.Hear(digest); len(addresses) > 0 {
-			digest.Passed = true
-			if err := b.Send(digest, addresses); err != nil {
-				b.cfg.Log.WithError(err).Debug("beacon: digest was not passed on to all hosts")
-			}
 		}
 	}
 }
 
+// take takes in a datagram.
+func (b *Beacon) take(raw []byte, from *net.UDPAddr) error {
+	if len(raw) == 0 {
+		return codes.New(codes.PeerFrame, "beacon: empty datagram")
+	}
+	switch kind := raw[0]; kind {
+	case kindDigest:
+		return b.takeDigest(raw[1:])
+	case kindAsk, kindGive:
+		return b.takeToken(kind, raw[1:], from)
+	default:
+		return codes.New(codes.PeerKind, "beacon: datagram of unknown kind %d", kind)
+	}
+}
+
+func (b *Beacon) takeDigest(raw []byte) error {
+	digest, err := DecodeDigest(raw)
+	if err != nil {
+		return err
+	}
+	addresses := b.cfg.Hear(digest)
+	if len(addresses) == 0 {
+		return nil
+	}
+	digest.Passed = true
+	if err := b.Send(digest, addresses); err != nil {
+		b.cfg.Log.WithError(err).Debug("beacon: digest was not passed on to all hosts")
+	}
+	return nil
+}
+
 // Send sends a digest to hosts by their IP addresses. Datagrams may be lost;
 // the next beat makes up for it.
 func (b *Beacon) Send(d gossip.Digest, addresses []string) error {
@@ -73,6 +105,7 @@
 	if err != nil {
 		return err
 	}
+	raw = append([]byte{kindDigest}, raw...)
 	var last error
 	for _, a := range addresses {
 		if _, err := b.socket.WriteToUDP(raw, &net.UDPAddr{IP: net.ParseIP(a), Port: b.cfg.Port}); err != nil {
--- a/io/beacon/beat.go
+++ b/io/beacon/beat.go
@@ -25,6 +25,7 @@
 	Servers  uint64 // newest change of the servers' table
 	Demand   map[string]float32
 	InFlight map[string]uint16
+	Spare    map[string]uint16
 }
 
 // digestWire is a datagram.
@@ -79,6 +80,10 @@
 		Lost: b.Lost, Age: b.Age.Milliseconds(),
 		Operator: b.Changes[core.FeedOperator], Servers: b.Changes[core.FeedServers],
 		Demand: make(map[string]float32, len(b.Demand)), InFlight: make(map[string]uint16, len(b.InFlight)),
+		Spare: make(map[string]uint16, len(b.Spare)),
+	}
+	for name, n := range b.Spare {
+		w.Spare[string(name)] = uint16(min(n, 1<<16-1))
 	}
 	for name, d := range b.Demand {
 		w.Demand[string(name)] = float32(d)
@@ -96,6 +101,10 @@
 		Changes:  map[core.FeedTable]uint64{core.FeedOperator: w.Operator, core.FeedServers: w.Servers},
 		Demand:   make(map[core.WorkspaceID]float64, len(w.Demand)),
 		InFlight: make(map[core.ServerID]int, len(w.InFlight)),
+		Spare:    make(map[core.WorkspaceID]int, len(w.Spare)),
+	}
+	for name, n := range w.Spare {
+		b.Spare[core.WorkspaceID(name)] = int(n)
 	}
 	for name, d := range w.Demand {
 		b.Demand[core.WorkspaceID(name)] = float64(d)
