--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -15,7 +15,6 @@
 	EndShed     Ending = "shed"     // the server refused for load
 	EndMoved    Ending = "moved"    // another server has the address
 	EndBroken   Ending = "broken"   // no connection, or no whole answer
-	EndSilent   Ending = "silent"   // no answer in time
 	EndLeft     Ending = "left"     // the caller left; says nothing of the server
 )
 
@@ -53,7 +52,7 @@
 		}
 	case EndShed:
 		s.shedUntil = now + shedPause
-	case EndMoved, EndBroken, EndSilent:
+	case EndMoved, EndBroken:
 		if !s.doubt {
 			s.doubt = true
 			v.check(now, s)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -214,11 +214,3 @@
 	}
 	return names
 }
-
-// Usable reports whether a server may still get requests.
-func (v *View) Usable(id core.ServerID, address string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	s := v.servers[id]
-	return s != nil && s.listed && s.Address == address
-}
--- a/core/rules.go
+++ b/core/rules.go
@@ -87,9 +87,6 @@
 
 // Bounds holds the figures of the platform's rules that the host keeps.
 type Bounds struct {
-	Contact     time.Duration // disturbance-free time after which time bounds hold again
-	Apply       time.Duration // a confirmed configuration is in force within it
-	Drain       time.Duration // a leaving server serves at least this long
 	Grace       time.Duration // between SIGTERM and SIGKILL
 	Lookup      time.Duration // longest lifetime of a look-up's answer
 	RetryRatio  float64       // retries a request, for all hosts together
@@ -111,9 +108,8 @@
 	Lookup string // listen address for look-ups
 	Peer   int    // port for traffic between hosts
 
-	Metrics   string        // listen address for metrics; empty for none
-	Store     string        // address of the platform's store
-	Heartbeat time.Duration // between two reports of a backend server
-	Memory    int64         // bytes
-	Bounds    Bounds
+	Metrics string // listen address for metrics; empty for none
+	Store   string // address of the platform's store
+	Memory  int64  // bytes
+	Bounds  Bounds
 }
--- a/io/logs/async.go
+++ b/io/logs/async.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"azurering/core/rings"
 )
@@ -10,6 +11,10 @@
 // asyncLines is how many lines may wait for a slow output.
 const asyncLines = 4096
 
+// flushTimeout bounds Flush at the end of a process, which the platform
+// kills soon after.
+const flushTimeout = 200 * time.Millisecond
+
 // Async passes lines on to an output that may block. Lines that find no room
 // are dropped and counted, so that logging never holds up a request. It is
 // safe for concurrent use.
@@ -50,11 +55,15 @@
 	}
 }
 
-// Flush waits until the lines written so far are out, or returns at once if
-// the output is too far behind.
+// Flush waits until the lines written so far are out. It gives up if the
+// output is blocked.
 func (a *Async) Flush() {
 	f := flush{done: make(chan struct{})}
-	if a.ring.Offer(f) == nil {
-		<-f.done
+	if a.ring.Offer(f) != nil {
+		return
+	}
+	select {
+	case <-f.done:
+	case <-time.After(flushTimeout):
 	}
 }
