place: weigh servers of the own region twice

Where bytes between domains cost more than those between regions, less is better, and the other way round; a host does not learn the prices.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// sameDomain and sameRegion weigh servers near the host, as bytes
-	// between domains and regions cost.
-	sameDomain = 3.0
-	sameRegion = 3.0
+	// sameRegion weighs servers in the host's region, as bytes between
+	// regions cost. Hosts of one region weigh alike and so agree on the
+	// server of an object.
+	sameRegion = 2.0
 	// coldFactor is how many times longer a server works on an object that
 	// it has not handled recently.
 	coldFactor = 3.0
@@ -69,10 +69,7 @@
 // weight returns the share of objects that a server should own.
 func (v *View) weight(s *server) float64 {
 	w := float64(s.Slots)
-	switch {
-	case s.Domain == v.cfg.Domain:
-		w *= sameDomain
-	case v.cfg.Regions[s.Domain] == v.cfg.Region:
+	if v.cfg.Regions[s.Domain] == v.cfg.Region {
 		w *= sameRegion
 	}
 	return w
