--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -237,7 +237,7 @@
 		if now < c.idleUntil && c.server.Address == s.Address && c.server.Born == s.Born {
 			return c
 		}
-		go c.kill()
+		c.kill()
 	}
 }
 
@@ -248,7 +248,7 @@
 	c.idleUntil = p.cfg.Timer.Now() + c.idle
 	list := p.idle[c.server.Name]
 	if len(list) >= maxIdle {
-		go c.kill()
+		c.kill()
 		return
 	}
 	p.idle[c.server.Name] = append(list, c)
@@ -281,7 +281,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			go c.kill()
+			c.kill()
 		}
 		if len(kept) == 0 {
 			delete(p.idle, id)
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -195,7 +195,9 @@
 // way the connection is not idle.
 func (c *conn) awaitByte(limits core.Limits) error {
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(limits.IdleTime))
+		if !c.wait(limits.IdleTime) {
+			return net.ErrClosed
+		}
 		_, err := c.reader.Peek(1)
 		var timeout net.Error
 		if err != nil && errors.As(err, &timeout) && timeout.Timeout() && c.isBusy() {
@@ -208,6 +210,19 @@
 	}
 }
 
+// wait sets how long the next request may take to begin. It reports whether
+// there may be one: a connection that is to be closed takes none, but is
+// read while a request is under way, as its caller may leave.
+func (c *conn) wait(idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing && c.busy == 0 {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(idle)) // a closed connection shows at the read
+	return true
+}
+
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
