gossip, quota: wait for the list of hosts before taking a share

Ruled out by the trace: buckets that start full, shares by demand. The test of a fresh host covers it.

--- a/app/edge/beats.go
+++ b/app/edge/beats.go
@@ -52,14 +52,16 @@
 	if err != nil {
 		return err
 	}
+	beats := make([]gossip.Beat, 0, len(list.Rows))
 	for _, r := range list.Rows {
 		beat, err := beacon.DecodeBeat(r.Value)
 		if err != nil {
 			h.cfg.Log.WithError(err).WithField("row", r.Key).Warn("edge: entry of a host ignored")
 			continue
 		}
-		h.members.Meet(beat)
+		beats = append(beats, beat)
 	}
+	h.members.Meet(beats)
 	return nil
 }
 
@@ -91,7 +93,9 @@
 		}
 		h.sendBeats()
 		others := h.members.Totals()
-		h.limiter.SetOthers(quota.Others{Demand: others.Demand, Hosts: others.Hosts, Unheard: others.Unheard})
+		h.limiter.SetOthers(quota.Others{
+			Demand: others.Demand, Hosts: others.Hosts, Unheard: others.Unheard, Listed: others.Listed,
+		})
 		h.budget.SetHosts(len(others.Hosts) + 1)
 		h.view.SetRemote(others.InFlight)
 		h.view.Expire()
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -88,9 +88,10 @@
 type View struct {
 	cfg Config
 
-	mu    sync.Mutex
-	self  Beat
-	peers map[core.HostID]*peer
+	mu     sync.Mutex
+	self   Beat
+	listed bool // the store's list was read
+	peers  map[core.HostID]*peer
 }
 
 type peer struct {
@@ -104,14 +105,16 @@
 	return &View{cfg: cfg, self: cfg.Self, peers: make(map[core.HostID]*peer)}
 }
 
-// Meet takes in that a host may exist, from the store's list.
-func (v *View) Meet(b Beat) {
+// Meet takes in the store's list of the hosts that may exist.
+func (v *View) Meet(list []Beat) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if b.Host == v.self.Host || v.peers[b.Host] != nil {
-		return
+	v.listed = true
+	for _, b := range list {
+		if b.Host != v.self.Host && v.peers[b.Host] == nil {
+			v.peers[b.Host] = &peer{Beat: b, at: v.cfg.Timer.Now()}
+		}
 	}
-	v.peers[b.Host] = &peer{Beat: b, at: v.cfg.Timer.Now()}
 }
 
 // Hear takes in a digest and returns the addresses that it is to be passed
@@ -351,6 +354,7 @@
 	InFlight map[core.ServerID]int
 	Hosts    []core.HostID // other hosts that may take requests
 	Unheard  int           // how many of them have not sent a beat yet
+	Listed   bool          // the store's list was read, so that there are no more hosts
 }
 
 // Totals sums up what the other hosts report. Hosts that fell silent a
@@ -360,7 +364,7 @@
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	t := Totals{Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.ServerID]int)}
+	t := Totals{Listed: v.listed, Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.ServerID]int)}
 	for _, p := range v.peers {
 		if now >= p.at+forget || !p.heard && !v.isNew(now, p) {
 			continue
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -84,14 +84,15 @@
 func TestListedHostIsUnheard(t *testing.T) {
 	clock := timer.NewManual()
 	v := view(clock)
-	v.Meet(beat("a", 1, 0))
-	v.Meet(beat("b", 1, 0)) // this host itself
+	require.False(t, v.Totals().Listed, "there may be hosts that are not known yet")
+	v.Meet([]gossip.Beat{beat("a", 1, 0), beat("b", 1, 0)}) // b is this host itself
+	require.True(t, v.Totals().Listed)
 	require.Equal(t, 1, v.Totals().Unheard)
 	require.Empty(t, alive(v))
 	require.Equal(t, []string{"10.0.0.a"}, v.Tick(gossip.Beat{Host: "b", Domain: "d"})[0].Addresses)
 	hear(v, beat("a", 1, 1))
 	require.Zero(t, v.Totals().Unheard)
-	v.Meet(beat("c", 1, 0))
+	v.Meet([]gossip.Beat{beat("c", 1, 0)})
 	clock.Advance(2 * time.Second)
 	require.Len(t, v.Totals().Hosts, 1)
 }
@@ -129,9 +130,7 @@
 	}
 	for _, b := range f.hosts {
 		v := gossip.New(gossip.Config{Timer: f.clock, Self: b})
-		for _, other := range f.hosts {
-			v.Meet(other)
-		}
+		v.Meet(f.hosts)
 		f.views[b.Address] = v
 	}
 	return f
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -229,6 +229,7 @@
 	Demand  map[core.WorkspaceID]float64 // requests a second of all of them together
 	Hosts   []core.HostID                // those that may take requests
 	Unheard int                          // how many of them have not reported yet
+	Listed  bool                         // there are no other hosts than these
 }
 
 // SetOthers takes in the demand at the other hosts. While some of them have
@@ -237,7 +238,10 @@
 	now := l.cfg.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.names, l.hosts, l.certain = o.Hosts, len(o.Hosts)+1, o.Unheard == 0
+	l.names, l.hosts, l.certain = o.Hosts, len(o.Hosts)+1, o.Listed && o.Unheard == 0
+	if !o.Listed {
+		l.hosts = max(l.hosts, unknownHosts)
+	}
 	for name, b := range l.buckets {
 		b.refill(now)
 		b.others = o.Demand[name]
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -90,7 +90,7 @@
 			}
 		}
 		names := append(append([]core.HostID{}, f.names[:i]...), f.names[i+1:]...)
-		l.SetOthers(quota.Others{Demand: map[core.WorkspaceID]float64{"w": others}, Hosts: names})
+		l.SetOthers(quota.Others{Demand: map[core.WorkspaceID]float64{"w": others}, Hosts: names, Listed: true})
 	}
 }
 
@@ -269,7 +269,7 @@
 	clock := timer.NewManual()
 	l := quota.New(quota.Config{Timer: clock, Slack: 20})
 	l.SetWorkspaces(holders(rate, burst))
-	l.SetOthers(quota.Others{})
+	l.SetOthers(quota.Others{Listed: true})
 	clock.Advance(10 * time.Second)
 	all := float64(l.Spare()["w"])
 	require.Greater(t, all, 40.0)
@@ -294,14 +294,22 @@
 		}
 	}
 	require.LessOrEqual(t, admitted, 3)
-	l.SetOthers(quota.Others{Hosts: make([]core.HostID, 11), Unheard: 11})
+	l.SetOthers(quota.Others{}) // the list of hosts was not read yet
 	for range 100 {
 		clock.Advance(step)
 		if _, ok := l.Take("w"); ok {
 			admitted++
 		}
 	}
-	require.LessOrEqual(t, admitted, 3+5)
+	require.LessOrEqual(t, admitted, 5)
+	l.SetOthers(quota.Others{Hosts: make([]core.HostID, 11), Unheard: 11, Listed: true})
+	for range 100 {
+		clock.Advance(step)
+		if _, ok := l.Take("w"); ok {
+			admitted++
+		}
+	}
+	require.LessOrEqual(t, admitted, 5+5)
 }
 
 func TestNoRateMeansNoLimit(t *testing.T) {
@@ -317,7 +325,7 @@
 	clock := timer.NewManual()
 	l := quota.New(quota.Config{Timer: clock, Slack: 20})
 	l.SetWorkspaces(holders(rate, burst))
-	l.SetOthers(quota.Others{})
+	l.SetOthers(quota.Others{Listed: true})
 	wait, ok := l.Take("w")
 	require.False(t, ok, "a bucket starts empty")
 	clock.Advance(wait + time.Millisecond)
