--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,7 +19,6 @@
 	"azurering/core"
 	"azurering/core/timer"
 	"azurering/io/conns"
-	"azurering/platform"
 )
 
 // script is what a server does with one request on a connection. It returns
@@ -58,7 +58,7 @@
 }
 
 func answer(id, headers, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n%sContent-Length: %d\r\n\r\n%s", id, headers, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nCall-Id: %s\r\nSigned: s\r\n%sContent-Length: %d\r\n\r\n%s", id, headers, len(body), body)
 }
 
 func write(c net.Conn, text string) bool {
@@ -71,15 +71,35 @@
 	if err != nil {
 		return false
 	}
-	return write(c, answer(r.Header.Get("Request-Id"), "", r.Header.Get("Request-Id")+string(body)))
+	return write(c, answer(r.Header.Get("Call-Id"), "", r.Header.Get("Call-Id")+string(body)))
+}
+
+// dialect names the headers of the test's servers.
+type dialect struct{}
+
+func (dialect) Call(*core.Call) {}
+
+func (dialect) Forward(c *core.Call, _ core.Forward) http.Header { return c.Header.Clone() }
+
+func (dialect) Meta(status int, h http.Header) core.ReplyMeta {
+	m := core.ReplyMeta{
+		ID: h.Get("Call-Id"), Stamped: h.Get("Signed") != "", Instance: core.ServerID(h.Get("Server-Id")),
+		NotRun: h.Get("Refused") != "" || status == http.StatusMisdirectedRequest,
+	}
+	if ms, err := strconv.Atoi(h.Get("Cold")); err == nil {
+		m.Cold = time.Duration(ms) * time.Millisecond
+	}
+	return m
 }
 
 func newPool() *conns.Pool {
-	return conns.New(conns.Config{Timer: timer.NewReal(), Dialect: platform.Dialect{}, Reply: platform.ReplyHeader})
+	return conns.New(conns.Config{
+		Timer: timer.NewReal(), Dialect: dialect{}, Reply: func(h http.Header) http.Header { return h },
+	})
 }
 
 func call(id string) *core.Call {
-	return &core.Call{ID: id, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}}
+	return &core.Call{ID: id, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Call-Id": {id}}}
 }
 
 func exchange(p *conns.Pool, s core.Instance, c *core.Call) (*core.Reply, core.ReplyMeta, error) {
@@ -121,7 +141,7 @@
 		"whole":            {func(c net.Conn, _ *http.Request) bool { return write(c, answer("a", "", "yes")) }, "", "yes"},
 		"closed at once":   {func(net.Conn, *http.Request) bool { return false }, core.SendMaybe, ""},
 		"no answer":        {func(c net.Conn, _ *http.Request) bool { write(c, "&%$ garbage\r\n\r\n"); return false }, core.SendMaybe, ""},
-		"cut in the body":  {func(c net.Conn, _ *http.Request) bool { write(c, answer("a", "", "yes")[:72]); return false }, core.SendMaybe, ""},
+		"cut in the body":  {func(c net.Conn, _ *http.Request) bool { write(c, strings.TrimSuffix(answer("a", "", "yes"), "es")); return false }, core.SendMaybe, ""},
 		"another's answer": {func(c net.Conn, _ *http.Request) bool { write(c, answer("b", "", "no")); return false }, core.SendMaybe, ""},
 		"a late answer before the own": {
 			func(c net.Conn, _ *http.Request) bool {
@@ -135,13 +155,13 @@
 		},
 		"no length, closed": {
 			func(c net.Conn, _ *http.Request) bool {
-				write(c, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n\r\nyes")
+				write(c, "HTTP/1.1 200 OK\r\nCall-Id: a\r\nSigned: s\r\n\r\nyes")
 				return false
 			}, "", "yes",
 		},
 		"no length, reset": {
 			func(c net.Conn, _ *http.Request) bool {
-				write(c, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n\r\nye")
+				write(c, "HTTP/1.1 200 OK\r\nCall-Id: a\r\nSigned: s\r\n\r\nye")
 				time.Sleep(50 * time.Millisecond) // let the bytes arrive before the reset
 				_ = c.(*net.TCPConn).SetLinger(0)
 				return false
@@ -149,18 +169,18 @@
 		},
 		"chunks, cut": {
 			func(c net.Conn, _ *http.Request) bool {
-				write(c, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n")
+				write(c, "HTTP/1.1 200 OK\r\nCall-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n")
 				return false
 			}, core.SendMaybe, "",
 		},
 		"not run": {
 			func(c net.Conn, _ *http.Request) bool {
-				return write(c, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+				return write(c, "HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n")
 			}, core.SendRefused, "",
 		},
 		"another server": {
 			func(c net.Conn, _ *http.Request) bool {
-				return write(c, "HTTP/1.1 421 Misdirected\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n")
+				return write(c, "HTTP/1.1 421 Misdirected\r\nServer-Id: i-2\r\nContent-Length: 0\r\n\r\n")
 			}, core.SendRefused, "",
 		},
 	} {
@@ -181,7 +201,7 @@
 // take them for its answer.
 func TestExtraBytesAreNotTheNextAnswer(t *testing.T) {
 	extra := func(c net.Conn, r *http.Request) bool {
-		id := r.Header.Get("Request-Id")
+		id := r.Header.Get("Call-Id")
 		if !write(c, answer(id, "", id)) {
 			return false
 		}
@@ -254,7 +274,7 @@
 // request on the connection.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
 	s, opened := serve(t, func(c net.Conn, r *http.Request) bool {
-		return write(c, answer(r.Header.Get("Request-Id"), "", "early"))
+		return write(c, answer(r.Header.Get("Call-Id"), "", "early"))
 	}, echo)
 	p := newPool()
 	big := call("a")
@@ -297,7 +317,7 @@
 // A large answer is streamed; if it breaks off, that must show.
 func TestLargeAnswerThatBreaksOff(t *testing.T) {
 	s, _ := serve(t, func(c net.Conn, _ *http.Request) bool {
-		write(c, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\nContent-Length: 3000000\r\n\r\n")
+		write(c, "HTTP/1.1 200 OK\r\nCall-Id: a\r\nSigned: s\r\nContent-Length: 3000000\r\n\r\n")
 		write(c, strings.Repeat("x", 2<<20))
 		return false
 	})
@@ -320,14 +340,14 @@
 		healthy         bool
 		cold            time.Duration
 	}{
-		"healthy":       {"200 OK", "Instance-Id: i-1\r\n", true, 0},
-		"cold":          {"200 OK", "Instance-Id: i-1\r\nCold-Ms: 1500\r\n", true, 1500 * time.Millisecond},
-		"leaving":       {"503 Leaving", "Instance-Id: i-1\r\n", false, 0},
-		"another":       {"200 OK", "Instance-Id: i-2\r\n", false, 0},
-		"full":          {"503 Full", "Not-Executed: 1\r\n", true, 0},
-		"misdirected":   {"421 Misdirected", "Instance-Id: i-2\r\n", false, 0},
+		"healthy":       {"200 OK", "Server-Id: i-1\r\n", true, 0},
+		"cold":          {"200 OK", "Server-Id: i-1\r\nCold: 1500\r\n", true, 1500 * time.Millisecond},
+		"leaving":       {"503 Leaving", "Server-Id: i-1\r\n", false, 0},
+		"another":       {"200 OK", "Server-Id: i-2\r\n", false, 0},
+		"full":          {"503 Full", "Refused: 1\r\n", true, 0},
+		"misdirected":   {"421 Misdirected", "Server-Id: i-2\r\n", false, 0},
 		"says no id":    {"200 OK", "", false, 0},
-		"server errors": {"500 Error", "Instance-Id: i-1\r\n", false, 0},
+		"server errors": {"500 Error", "Server-Id: i-1\r\n", false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, _ := serve(t, health(c.status, c.headers))
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -19,9 +19,13 @@
 	"azurering/core"
 	"azurering/core/timer"
 	"azurering/io/front"
-	"azurering/platform"
 )
 
+// dialect reads nothing from the headers.
+type dialect struct{ core.Dialect }
+
+func (dialect) Call(*core.Call) {}
+
 // patience is how long a test waits for what must happen.
 const patience = 10 * time.Second
 
@@ -41,7 +45,7 @@
 	log.SetOutput(io.Discard)
 	lab := &lab{address: l.Addr().String(), limits: limits}
 	lab.server = front.New(front.Config{
-		Timer: timer.NewReal(), Dialect: platform.Dialect{}, Limits: func() core.Limits { return limits }, Log: log,
+		Timer: timer.NewReal(), Dialect: dialect{}, Limits: func() core.Limits { return limits }, Log: log,
 		Serve: func(ctx context.Context, c *core.Call) *core.Reply {
 			lab.mu.Lock()
 			lab.bodies = append(lab.bodies, string(c.Body))
@@ -67,7 +71,7 @@
 	return &core.Reply{Status: 200, Header: http.Header{}, Body: []byte(body), Length: int64(len(body))}
 }
 
-func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n\r\n" }
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
 
 func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
 	t.Helper()
