--- a/app/edge/beats.go
+++ b/app/edge/beats.go
@@ -32,7 +32,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		err := h.cfg.Feed.Put(ctx, core.FeedHosts, string(h.cfg.Place.Name), raw)
+		err := h.feed.Put(ctx, core.FeedHosts, string(h.cfg.Place.Name), raw)
 		if err == nil {
 			err = h.meet(ctx)
 		}
@@ -48,7 +48,7 @@
 }
 
 func (h *host) meet(ctx context.Context) error {
-	list, err := h.cfg.Feed.List(ctx, core.FeedHosts)
+	list, err := h.feed.List(ctx, core.FeedHosts)
 	if err != nil {
 		return err
 	}
--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -62,7 +62,7 @@
 		fx.Supply(cfg),
 		fx.Provide(
 			func() core.Timer { return timer.NewReal() },
-			metric.New, newMembers, newLimiter, newBudget, newBackends, newWorld, newView, newProxy, newRecorder, newHost,
+			metric.New, newFeed, newMembers, newLimiter, newBudget, newBackends, newWorld, newView, newProxy, newRecorder, newHost,
 		),
 		fx.Populate(&a.host),
 		fx.Invoke(func(l fx.Lifecycle, h *host) {
@@ -96,6 +96,8 @@
 	}
 }
 
+func newFeed(cfg Config, m *metric.Metrics) core.Feed { return &counted{feed: cfg.Feed, metrics: m} }
+
 func newMembers(cfg Config, t core.Timer) *gossip.View {
 	self := gossip.Beat{
 		Host: cfg.Place.Name, Domain: cfg.Place.Domain, Address: cfg.Place.Address, Boot: uint64(time.Now().UnixMilli()),
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -41,6 +41,7 @@
 type host struct {
 	cfg     Config
 	timer   core.Timer
+	feed    core.Feed
 	metrics *metric.Metrics
 	members *gossip.View
 	limiter *quota.Limiter
@@ -63,11 +64,11 @@
 }
 
 func newHost(
-	cfg Config, t core.Timer, m *metric.Metrics, members *gossip.View, l *quota.Limiter, b *retry.Budget, pool *conns.Pool,
+	cfg Config, t core.Timer, feed core.Feed, m *metric.Metrics, members *gossip.View, l *quota.Limiter, b *retry.Budget, pool *conns.Pool,
 	w *world, view *place.View, p *proxy.Proxy, r *recorder,
 ) *host {
 	return &host{
-		cfg: cfg, timer: t, metrics: m, members: members, limiter: l, budget: b, pool: pool, world: w, view: view, proxy: p,
+		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, world: w, view: view, proxy: p,
 		record: r, boot: uint64(time.Now().UnixMilli()),
 		behind: map[core.FeedTable]chan struct{}{
 			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
@@ -96,6 +97,9 @@
 	h.front = front.New(front.Config{
 		Timer: h.timer, Dialect: h.cfg.Dialect, Serve: h.serve, Limits: h.world.limits, Log: h.cfg.Log,
 	})
+	if err := h.gauges(); err != nil {
+		return err
+	}
 	h.world.borrow = h.borrow
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -49,18 +49,20 @@
 	evacuated map[core.DomainID]bool
 }
 
-func newWorld(cfg Config, t core.Timer, limiter *quota.Limiter, members *gossip.View) *world {
+func newWorld(cfg Config, t core.Timer, feed core.Feed, limiter *quota.Limiter, members *gossip.View) *world {
 	w := &world{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1)}
 	w.mirrors = map[core.FeedTable]*mirror.Mirror{
-		core.FeedOperator: w.mirror(t, members, core.FeedOperator, w.operatorChanged),
-		core.FeedServers:  w.mirror(t, members, core.FeedServers, w.serversChanged),
+		core.FeedOperator: w.mirror(t, feed, members, core.FeedOperator, w.operatorChanged),
+		core.FeedServers:  w.mirror(t, feed, members, core.FeedServers, w.serversChanged),
 	}
 	return w
 }
 
-func (w *world) mirror(t core.Timer, members *gossip.View, table core.FeedTable, changed func([]core.Record, bool)) *mirror.Mirror {
+func (w *world) mirror(
+	t core.Timer, feed core.Feed, members *gossip.View, table core.FeedTable, changed func([]core.Record, bool),
+) *mirror.Mirror {
 	return mirror.New(mirror.Config{
-		Table: table, Feed: w.cfg.Feed, Timer: t, Wait: followWait, Follows: members.Follows,
+		Table: table, Feed: feed, Timer: t, Wait: followWait, Follows: members.Follows,
 		Changed: func(rows []core.Record, lapsed bool) {
 			changed(rows, lapsed)
 			if !members.Follows() {
