--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -138,10 +138,13 @@
 		state  core.SendState // empty: the answer counts
 		body   string
 	}{
-		"whole":            {func(c net.Conn, _ *http.Request) bool { return write(c, answer("a", "", "yes")) }, "", "yes"},
-		"closed at once":   {func(net.Conn, *http.Request) bool { return false }, core.SendMaybe, ""},
-		"no answer":        {func(c net.Conn, _ *http.Request) bool { write(c, "&%$ garbage\r\n\r\n"); return false }, core.SendMaybe, ""},
-		"cut in the body":  {func(c net.Conn, _ *http.Request) bool { write(c, strings.TrimSuffix(answer("a", "", "yes"), "es")); return false }, core.SendMaybe, ""},
+		"whole":          {func(c net.Conn, _ *http.Request) bool { return write(c, answer("a", "", "yes")) }, "", "yes"},
+		"closed at once": {func(net.Conn, *http.Request) bool { return false }, core.SendMaybe, ""},
+		"no answer":      {func(c net.Conn, _ *http.Request) bool { write(c, "&%$ garbage\r\n\r\n"); return false }, core.SendMaybe, ""},
+		"cut in the body": {func(c net.Conn, _ *http.Request) bool {
+			write(c, strings.TrimSuffix(answer("a", "", "yes"), "es"))
+			return false
+		}, core.SendMaybe, ""},
 		"another's answer": {func(c net.Conn, _ *http.Request) bool { write(c, answer("b", "", "no")); return false }, core.SendMaybe, ""},
 		"a late answer before the own": {
 			func(c net.Conn, _ *http.Request) bool {
