mirror: notice the end of an outage at once

Cause: after a failed call a host waited up to 3 s for a change before it took the store as regained. Ruled out: a change that was not passed on (no catchup line). Change: a call after a failed one does not wait. The test failed first.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -189,7 +189,10 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.mu.Lock()
-	after := m.asOf
+	after, wait := m.asOf, m.cfg.Wait
+	if m.failing {
+		wait = 0 // the end of an outage shows at once
+	}
 	m.cancel = cancel
 	m.mu.Unlock()
 	var got core.Records
@@ -197,7 +200,7 @@
 	if after == 0 {
 		got, err = m.cfg.Feed.List(call, m.cfg.Table)
 	} else {
-		got, err = m.cfg.Feed.Follow(call, m.cfg.Table, after, m.cfg.Wait)
+		got, err = m.cfg.Feed.Follow(call, m.cfg.Table, after, wait)
 	}
 	if err != nil {
 		return m.failed(ctx, call, err)
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	answers []answer
 	after   []uint64 // of each Follow; 0 for a List
+	waits   []time.Duration
 	idle    chan struct{}
 }
 
@@ -50,7 +51,10 @@
 	return f.next(ctx, 0)
 }
 
-func (f *feed) Follow(ctx context.Context, _ core.FeedTable, after uint64, _ time.Duration) (core.Records, error) {
+func (f *feed) Follow(ctx context.Context, _ core.FeedTable, after uint64, wait time.Duration) (core.Records, error) {
+	f.mu.Lock()
+	f.waits = append(f.waits, wait)
+	f.mu.Unlock()
 	return f.next(ctx, after)
 }
 
@@ -229,3 +233,14 @@
 	l.play(t)
 	require.Equal(t, []uint64{0, 10, 11}, l.feed.after)
 }
+
+// The end of an outage must be noticed at once, not with the next change:
+// until then removals count as lapsed, and a server that left for good got
+// requests for too long (afm-vans, deploy/days/away-evacuate.toml --vary
+// --seed 784286382246: DRAIN, 2011 ms after the server had left).
+func TestEndOfOutageIsNoticedAtOnce(t *testing.T) {
+	down := answer{err: codes.New(codes.StoreLimit, "busy")}
+	l := newLab(records(10), down, down, records(10), records(11, row("a", 11)))
+	l.play(t)
+	require.Equal(t, []time.Duration{time.Second, 0, 0, time.Second, time.Second}, l.feed.waits)
+}
