--- a/core/order/release.go
+++ b/core/order/release.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"azurering/core/timer"
 )
 
 const (
@@ -15,16 +17,7 @@
 // runSettle reads the rows of calls that never ran but whose claim may
 // still take effect, and releases what it finds.
 func (o *Orders) runSettle(ctx context.Context) {
-	ticks := o.cfg.Timer.Subscribe("order-settle", settlePeriod)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			o.settleRound(ctx)
-		}
-	}
+	timer.Every(ctx, o.cfg.Timer, "order-settle", settlePeriod, nil, o.settleRound)
 }
 
 // settleRound reads until the store fails.
--- a/core/order/sweep.go
+++ b/core/order/sweep.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"azurering/core"
+	"azurering/core/timer"
 )
 
 const (
@@ -16,18 +17,11 @@
 // runSweep deletes expired records: one page read and at most one page of
 // deletions a second.
 func (o *Orders) runSweep(ctx context.Context) {
-	ticks := o.cfg.Timer.Subscribe("order-sweep", sweepPeriod)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			if o.cfg.Sweep == nil || o.cfg.Sweep() {
-				o.sweepOnce(ctx)
-			}
+	timer.Every(ctx, o.cfg.Timer, "order-sweep", sweepPeriod, nil, func(ctx context.Context) {
+		if o.cfg.Sweep == nil || o.cfg.Sweep() {
+			o.sweepOnce(ctx)
 		}
-	}
+	})
 }
 
 func (o *Orders) sweepOnce(ctx context.Context) {
--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -8,6 +8,7 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/timer"
 )
 
 // HolderConfig configures a Holder. Host, Domain, Peers, Timer and Seat are
@@ -472,22 +473,8 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		h.loop(ctx, h.Borrow, nil)
+		timer.Every(ctx, h.cfg.Timer, "share-holder", h.cfg.Gap/2, nil, h.Borrow)
 	}()
-	h.loop(ctx, h.Step, h.wake)
+	timer.Every(ctx, h.cfg.Timer, "share-holder", h.cfg.Gap/2, h.wake, h.Step)
 	<-done
 }
-
-func (h *Holder) loop(ctx context.Context, step func(context.Context), wake <-chan struct{}) {
-	ticks := h.cfg.Timer.Subscribe("share-holder", h.cfg.Gap/2)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-		case <-wake:
-		}
-		step(ctx)
-	}
-}
--- a/core/share/keeper.go
+++ b/core/share/keeper.go
@@ -10,6 +10,7 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/timer"
 )
 
 // KeeperConfig configures a Keeper. Domain, Table, Timer, Acting, Check and
@@ -379,14 +380,5 @@
 // Run calls Step once a second until the context ends. It runs in the
 // caller's goroutine.
 func (k *Keeper) Run(ctx context.Context) {
-	ticks := k.cfg.Timer.Subscribe("share-keeper", time.Second)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			k.Step(ctx)
-		}
-	}
+	timer.Every(ctx, k.cfg.Timer, "share-keeper", time.Second, nil, func(ctx context.Context) { k.Step(ctx) })
 }
