edge, conns, mirror: remove what reading the change again showed

edge uses timer.Every. The headers of an answer to a caller are a method of core.Dialect like those of requests, not a function handed along beside it. The host builds the proxy, so that world no longer carries the call that lends tokens.

--- a/app/edge/beats.go
+++ b/app/edge/beats.go
@@ -9,6 +9,7 @@
 	"azurering/core"
 	"azurering/core/gossip"
 	"azurering/core/quota"
+	"azurering/core/timer"
 	"azurering/io/beacon"
 )
 
@@ -67,11 +68,9 @@
 
 // beat returns this host's beat.
 func (h *host) beat() gossip.Beat {
-	b := gossip.Beat{
-		Host: h.cfg.Place.Name, Domain: h.cfg.Place.Domain, Address: h.cfg.Place.Address, Boot: h.boot,
-		Ready: h.isReady(), Changes: make(map[core.FeedTable]uint64), Demand: h.limiter.Demand(), InFlight: h.view.InFlight(),
-		Spare: h.limiter.Spare(),
-	}
+	b := self(h.cfg)
+	b.Boot, b.Ready, b.Changes = h.boot, h.isReady(), make(map[core.FeedTable]uint64)
+	b.Demand, b.InFlight, b.Spare = h.limiter.Demand(), h.view.InFlight(), h.limiter.Spare()
 	for table, m := range h.world.mirrors {
 		_, b.Changes[table] = m.Versions()
 		b.Lost = b.Lost || m.Failing()
@@ -82,15 +81,7 @@
 // runBeats sends beats and takes in what others reported. A change that the
 // others wait for is told at once.
 func (h *host) runBeats(ctx context.Context) {
-	ticks := h.timer.Subscribe("beats", beatEvery)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-		case <-h.world.changed:
-		}
+	timer.Every(ctx, h.timer, "beats", beatEvery, h.world.changed, func(context.Context) {
 		h.sendBeats()
 		others := h.members.Totals()
 		h.limiter.SetOthers(quota.Others{
@@ -99,7 +90,7 @@
 		h.budget.SetHosts(len(others.Hosts) + 1)
 		h.view.SetRemote(others.InFlight)
 		h.view.Expire()
-	}
+	})
 }
 
 func (h *host) sendBeats() {
--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -13,7 +13,6 @@
 	"azurering/core/codes"
 	"azurering/core/gossip"
 	"azurering/core/place"
-	"azurering/core/proxy"
 	"azurering/core/quota"
 	"azurering/core/retry"
 	"azurering/core/timer"
@@ -31,8 +30,6 @@
 	Feed    core.Feed
 	Decode  Decoder
 	Dialect core.Dialect
-	// Reply returns the headers of a server's answer that go on to callers.
-	Reply ReplyHeader
 	// Paths are the paths of the calls that the platform makes.
 	Paths Paths
 }
@@ -62,7 +59,7 @@
 		fx.Supply(cfg),
 		fx.Provide(
 			func() core.Timer { return timer.NewReal() },
-			metric.New, newFeed, newMembers, newLimiter, newBudget, newBackends, newWorld, newView, newProxy, newRecorder, newHost,
+			metric.New, newFeed, newMembers, newLimiter, newBudget, newBackends, newWorld, newView, newRecorder, newHost,
 		),
 		fx.Populate(&a.host),
 		fx.Invoke(func(l fx.Lifecycle, h *host) {
@@ -99,10 +96,12 @@
 func newFeed(cfg Config, m *metric.Metrics) core.Feed { return &counted{feed: cfg.Feed, metrics: m} }
 
 func newMembers(cfg Config, t core.Timer) *gossip.View {
-	self := gossip.Beat{
-		Host: cfg.Place.Name, Domain: cfg.Place.Domain, Address: cfg.Place.Address, Boot: uint64(time.Now().UnixMilli()),
-	}
-	return gossip.New(gossip.Config{Timer: t, Self: self})
+	return gossip.New(gossip.Config{Timer: t, Self: self(cfg)})
+}
+
+// self returns the part of this host's beat that does not change.
+func self(cfg Config) gossip.Beat {
+	return gossip.Beat{Host: cfg.Place.Name, Domain: cfg.Place.Domain, Address: cfg.Place.Address}
 }
 
 func newLimiter(cfg Config, t core.Timer) *quota.Limiter {
@@ -115,7 +114,7 @@
 }
 
 func newBackends(cfg Config, t core.Timer) *conns.Pool {
-	return conns.New(conns.Config{Timer: t, Dialect: cfg.Dialect, Reply: cfg.Reply})
+	return conns.New(conns.Config{Timer: t, Dialect: cfg.Dialect})
 }
 
 func newView(cfg Config, t core.Timer, w *world, members *gossip.View, pool *conns.Pool) *place.View {
@@ -127,10 +126,3 @@
 	c.view, w.view = view, view
 	return view
 }
-
-func newProxy(t core.Timer, pool *conns.Pool, view *place.View, l *quota.Limiter, b *retry.Budget, w *world) *proxy.Proxy {
-	return proxy.New(proxy.Config{
-		Timer: t, Backends: pool, View: view, Limiter: l, Budget: b, Table: w.table.Load,
-		Borrow: func(ctx context.Context, workspace core.WorkspaceID) { w.borrow(ctx, workspace) },
-	})
-}
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -19,6 +19,7 @@
 	"azurering/core/proxy"
 	"azurering/core/quota"
 	"azurering/core/retry"
+	"azurering/core/timer"
 	"azurering/io/beacon"
 	"azurering/io/conns"
 	"azurering/io/front"
@@ -65,15 +66,19 @@
 
 func newHost(
 	cfg Config, t core.Timer, feed core.Feed, m *metric.Metrics, members *gossip.View, l *quota.Limiter, b *retry.Budget, pool *conns.Pool,
-	w *world, view *place.View, p *proxy.Proxy, r *recorder,
+	w *world, view *place.View, r *recorder,
 ) *host {
-	return &host{
-		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, world: w, view: view, proxy: p,
+	h := &host{
+		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, world: w, view: view,
 		record: r, boot: uint64(time.Now().UnixMilli()),
 		behind: map[core.FeedTable]chan struct{}{
 			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
 		},
 	}
+	h.proxy = proxy.New(proxy.Config{
+		Timer: t, Backends: pool, View: view, Limiter: l, Budget: b, Table: w.table.Load, Borrow: h.borrow,
+	})
+	return h
 }
 
 func (h *host) isReady() bool { return h.world.ready() && !h.leaving.Load() }
@@ -100,7 +105,6 @@
 	if err := h.gauges(); err != nil {
 		return err
 	}
-	h.world.borrow = h.borrow
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go h.beacon.Run()
@@ -206,16 +210,7 @@
 }
 
 func (h *host) runSweep(ctx context.Context) {
-	ticks := h.timer.Subscribe("sweep", sweepEvery)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			h.pool.Sweep(h.view.Names())
-		}
-	}
+	timer.Every(ctx, h.timer, "sweep", sweepEvery, nil, func(context.Context) { h.pool.Sweep(h.view.Names()) })
 }
 
 // stop ends the host without cutting a request: it leaves the look-ups,
--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -15,9 +14,6 @@
 	"azurering/io/metric"
 )
 
-// ReplyHeader returns the headers of a server's answer that go on to callers.
-type ReplyHeader func(http.Header) http.Header
-
 // recorder logs and counts what was decided.
 type recorder struct {
 	log     logrus.FieldLogger
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -42,8 +42,6 @@
 	mirrors map[core.FeedTable]*mirror.Mirror
 	table   atomic.Pointer[routes.Table]
 	changed chan struct{} // a table has changed
-	// borrow asks another host for tokens; the host sets it at its start.
-	borrow func(context.Context, core.WorkspaceID)
 
 	mu        sync.Mutex
 	evacuated map[core.DomainID]bool
--- a/app/verbs/edge.go
+++ b/app/verbs/edge.go
@@ -73,8 +73,8 @@
 			Rules: platform.DecodeRules, IsRules: platform.IsRules, Evacuated: platform.EvacuatedDomain,
 			Instance: platform.DecodeInstance,
 		},
-		Dialect: platform.Dialect{}, Reply: platform.ReplyHeader,
-		Paths: edge.Paths{Ready: platform.PathReady, Lookup: platform.PathLookup, Answer: platform.LookupAnswer},
+		Dialect: platform.Dialect{},
+		Paths:   edge.Paths{Ready: platform.PathReady, Lookup: platform.PathLookup, Answer: platform.LookupAnswer},
 	})
 	if err != nil {
 		return err
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -58,6 +58,8 @@
 	Call(c *Call)
 	// Forward returns the headers of the request to a server.
 	Forward(c *Call, f Forward) http.Header
+	// Reply returns the headers of a server's answer that go on to the caller.
+	Reply(h http.Header) http.Header
 	// Meta reads the headers of a server's answer.
 	Meta(status int, h http.Header) ReplyMeta
 }
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -80,7 +80,7 @@
 // Config configures a View. Timer and Self are required.
 type Config struct {
 	Timer core.Timer
-	// Self holds the name, domain, address and boot of this host.
+	// Self holds the name, domain and address of this host.
 	Self Beat
 }
 
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -129,7 +129,7 @@
 	m.apply.Lock()
 	defer m.apply.Unlock()
 	m.mu.Lock()
-	if c.AsOf <= m.asOf || c.After > m.asOf || len(c.Rows) > 0 && m.asOf == 0 && c.After > 0 {
+	if c.AsOf <= m.asOf || c.After > m.asOf {
 		m.mu.Unlock()
 		return false
 	}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -63,6 +63,11 @@
 // a moment before the write returns; one that comes before the request is
 // read ends the connection.
 func (x *exchange) written() bool {
+	select {
+	case <-x.sent:
+		return true
+	default:
+	}
 	select {
 	case <-x.sent:
 		return true
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -81,6 +81,8 @@
 
 func (dialect) Forward(c *core.Call, _ core.Forward) http.Header { return c.Header.Clone() }
 
+func (dialect) Reply(h http.Header) http.Header { return h }
+
 func (dialect) Meta(status int, h http.Header) core.ReplyMeta {
 	m := core.ReplyMeta{
 		ID: h.Get("Call-Id"), Stamped: h.Get("Signed") != "", Instance: core.ServerID(h.Get("Server-Id")),
@@ -93,9 +95,7 @@
 }
 
 func newPool() *conns.Pool {
-	return conns.New(conns.Config{
-		Timer: timer.NewReal(), Dialect: dialect{}, Reply: func(h http.Header) http.Header { return h },
-	})
+	return conns.New(conns.Config{Timer: timer.NewReal(), Dialect: dialect{}})
 }
 
 func call(id string) *core.Call {
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -38,12 +38,10 @@
 // keepAlive notices a server that fell silent while it works on a request.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
 
-// Config configures a Pool. Timer, Dialect and Reply are required.
+// Config configures a Pool. Timer and Dialect are required.
 type Config struct {
 	Timer   core.Timer
 	Dialect core.Dialect
-	// Reply returns the headers of an answer that go on to the caller.
-	Reply func(http.Header) http.Header
 	// Dial opens connections; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -122,7 +120,7 @@
 		}
 		return nil, r.meta, &core.SendError{State: core.SendRefused, Cause: errors.Errorf("conns: server refused with %d", r.reply.Status)}
 	}
-	r.reply.Header = p.cfg.Reply(r.reply.Header)
+	r.reply.Header = p.cfg.Dialect.Reply(r.reply.Header)
 	return r.reply, r.meta, nil
 }
 
