place: divide objects among regions by demand and room

Servers of the own region weighed twice, whatever the region's room: callers of doto, with a tenth of the slots, sent most requests away, and those of dohoku too although their own servers had room.

Change: each host learns what the callers of each failure domain have in flight and keeps as much as fits in the own region; the rest goes to the spare slots of others. Requests with large answers have an owner in each failure domain instead of each region.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -351,10 +351,10 @@
 // Totals is what the other hosts report together.
 type Totals struct {
 	Demand   map[core.WorkspaceID]float64
-	InFlight map[core.ServerID]int
-	Hosts    []core.HostID // other hosts that may take requests
-	Unheard  int           // how many of them have not sent a beat yet
-	Listed   bool          // the store's list was read, so that there are no more hosts
+	InFlight map[core.DomainID]map[core.ServerID]int // by the domain of the host
+	Hosts    []core.HostID                           // other hosts that may take requests
+	Unheard  int                                     // how many of them have not sent a beat yet
+	Listed   bool                                    // the store's list was read, so that there are no more hosts
 }
 
 // Totals sums up what the other hosts report. Hosts that fell silent a
@@ -364,7 +364,7 @@
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	t := Totals{Listed: v.listed, Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.ServerID]int)}
+	t := Totals{Listed: v.listed, Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.DomainID]map[core.ServerID]int)}
 	for _, p := range v.peers {
 		if now >= p.at+forget || !p.heard && !v.isNew(now, p) {
 			continue
@@ -379,8 +379,11 @@
 		if !v.alive(now, p) {
 			continue
 		}
+		if t.InFlight[p.Domain] == nil {
+			t.InFlight[p.Domain] = make(map[core.ServerID]int)
+		}
 		for s, n := range p.InFlight {
-			t.InFlight[s] += n
+			t.InFlight[p.Domain][s] += n
 		}
 	}
 	return t
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// sameRegion weighs servers in the host's region, as bytes between
-	// regions cost. Hosts of one region weigh alike and so agree on the
-	// server of an object.
-	sameRegion = 2.0
 	// coldFactor is how many times longer a server works on an object that
 	// it has not handled recently.
 	coldFactor = 3.0
@@ -39,6 +35,8 @@
 	Tried   []core.ServerID
 	// Sticky says that servers are faster for objects that they handled.
 	Sticky bool
+	// Large says that the answer is large.
+	Large bool
 	// Patience is how long the answer may take, waiting at the server
 	// included. A server with a free slot is taken in any case.
 	Patience time.Duration
@@ -66,13 +64,20 @@
 	return (float64(x>>11) + 0.5) / (1 << 53)
 }
 
-// weight returns the share of objects that a server should own.
-func (v *View) weight(s *server) float64 {
-	w := float64(s.Slots)
-	if v.cfg.Regions[s.Domain] == v.cfg.Region {
-		w *= sameRegion
+// weight returns the share of objects that a server should own. An object
+// has an owner in each region, so that few servers have to learn it; one with
+// large answers has an owner in each failure domain, as bytes between domains
+// cost. Servers of one area weigh alike by slot, so that all hosts agree on
+// their order for an object.
+func (v *View) weight(s *server, large bool) float64 {
+	w := v.weights[s.Service].regions[string(v.cfg.Regions[s.Domain])]
+	if large {
+		w = v.weights[s.Service].domains[string(s.Domain)]
 	}
-	return w
+	if w > 0 {
+		return w * float64(s.Slots)
+	}
+	return float64(s.Slots)
 }
 
 type candidate struct {
@@ -91,7 +96,7 @@
 		}
 		// Weighted rendezvous hashing: an exponential variate with the
 		// weight as its rate.
-		rank := -math.Log(mix(object, s.hash)) / v.weight(s)
+		rank := -math.Log(mix(object, s.hash)) / v.weight(s, ask.Large)
 		list = append(list, candidate{server: s, rank: rank, cold: now < s.coldUntil})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].rank < list[j].rank })
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -107,12 +107,3 @@
 	}
 	return counts
 }
-
-// SetRemote replaces what other hosts have in flight at each server.
-func (v *View) SetRemote(counts map[core.ServerID]int) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for id, s := range v.servers {
-		s.remote = counts[id]
-	}
-}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -59,6 +59,8 @@
 	services  map[core.ServiceID][]*server // servers that are listed, by name
 	evacuated map[core.DomainID]bool
 	works     map[core.ServiceID]time.Duration // mean time of answers without a queue
+	demands   map[core.ServiceID]*demand
+	weights   map[core.ServiceID]weights
 }
 
 // server is what the host knows of one server. View.mu guards it.
@@ -87,6 +89,8 @@
 		services:  make(map[core.ServiceID][]*server),
 		evacuated: make(map[core.DomainID]bool),
 		works:     make(map[core.ServiceID]time.Duration),
+		demands:   make(map[core.ServiceID]*demand),
+		weights:   make(map[core.ServiceID]weights),
 	}
 }
 
@@ -180,6 +184,7 @@
 			v.services[s.Service] = append(v.services[s.Service], s)
 		}
 	}
+	v.reweigh()
 }
 
 // Evacuate replaces the set of failure domains whose servers get nothing.
@@ -200,6 +205,7 @@
 		}
 	}
 	v.evacuated = domains
+	v.reweigh()
 }
 
 // Names returns the servers that are listed.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -108,7 +108,7 @@
 			for i := range busy {
 				remote[instance(i, "a").Name] = 3
 			}
-			l.view.SetRemote(remote)
+			l.view.SetRemote(map[core.DomainID]map[core.ServerID]int{"a": remote})
 			seen := make(map[core.ServerID]bool)
 			patient := ask(fmt.Sprint(n))
 			patient.Patience = 3 * time.Second
@@ -161,7 +161,7 @@
 	first, err := l.view.Acquire(ask("x"))
 	require.NoError(t, err)
 	first.Done(place.EndLeft, nil)
-	l.view.SetRemote(map[core.ServerID]int{first.Name: 4})
+	l.view.SetRemote(map[core.DomainID]map[core.ServerID]int{"a": {first.Name: 4}})
 	require.Equal(t, 3+6-4, l.until(t, "x"))
 }
 
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -177,6 +177,7 @@
 	return place.Ask{
 		Service: j.record.Service, Object: j.rule.Prefix + object, Homes: homes, Bound: bound, Tried: j.record.Servers,
 		Sticky: j.rule.Sticky && j.call.Object != "", Patience: j.patience(),
+		Large: j.rule.Class == core.ClassDownload,
 	}
 }
 
