place, quota: choose among few candidates and read entries at once

Each request ranked and sorted all servers of its service, again for each 15 ms that it waited; each entry of a server rebuilt all lists; each beat hashed all hosts for each small workspace.

Change: the 24 best candidates are kept in order while ranking, weights are kept with the servers, lists are rebuilt once at the next use, the share of busy slots is kept for 10 ms, and the rank among holders until the hosts change.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -19,6 +20,12 @@
 	// request goes to another server than its object's own: there it would
 	// take the time of several others.
 	spillBusy = 0.7
+	// busyLife is how long the share of busy slots of a service counts as
+	// known. A slot turns over in a hundred milliseconds or more.
+	busyLife = 10 * time.Millisecond
+	// maxCandidates is how many servers a request looks at. That so many are
+	// full or avoided while others are not is rare.
+	maxCandidates = 24
 	// defaultWork is the assumed time of a request before the first answer.
 	defaultWork = 250 * time.Millisecond
 	// coldSpacing is the least time between two requests of one host to a
@@ -64,42 +71,36 @@
 	return (float64(x>>11) + 0.5) / (1 << 53)
 }
 
-// weight returns the share of objects that a server should own. An object
-// has an owner in each region, so that few servers have to learn it; one with
-// large answers has an owner in each failure domain, as bytes between domains
-// cost. Servers of one area weigh alike by slot, so that all hosts agree on
-// their order for an object.
-func (v *View) weight(s *server, large bool) float64 {
-	w := v.weights[s.Service].regions[string(v.cfg.Regions[s.Domain])]
-	if large {
-		w = v.weights[s.Service].domains[string(s.Domain)]
-	}
-	if w > 0 {
-		return w * float64(s.Slots)
-	}
-	return float64(s.Slots)
-}
-
 type candidate struct {
 	*server
 	rank float64 // lower is better
 	cold bool
 }
 
-// candidates returns the servers that may get the request, best first.
+// candidates returns the servers that may get the request, best first, and
+// no more than a request needs to look at.
 func (v *View) candidates(now time.Duration, ask Ask) []candidate {
+	v.refresh()
 	object := hashName(ask.Object)
-	list := make([]candidate, 0, len(v.services[ask.Service]))
+	list := make([]candidate, 0, maxCandidates+1)
 	for _, s := range v.services[ask.Service] {
 		if s.doubt || v.evacuated[s.Domain] || !v.allowed(s, ask) {
 			continue
 		}
 		// Weighted rendezvous hashing: an exponential variate with the
 		// weight as its rate.
-		rank := -math.Log(mix(object, s.hash)) / v.weight(s, ask.Large)
-		list = append(list, candidate{server: s, rank: rank, cold: now < s.coldUntil})
+		weight := s.weight
+		if ask.Large {
+			weight = s.large
+		}
+		rank := -math.Log(mix(object, s.hash)) / weight
+		if len(list) == maxCandidates && rank >= list[maxCandidates-1].rank {
+			continue
+		}
+		at := sort.Search(len(list), func(i int) bool { return list[i].rank > rank })
+		list = slices.Insert(list, at, candidate{server: s, rank: rank, cold: now < s.coldUntil})
+		list = list[:min(len(list), maxCandidates)]
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].rank < list[j].rank })
 	return list
 }
 
@@ -157,7 +158,7 @@
 	shortest := ask.Patience
 	work := v.work(ask.Service)
 	owned := false // the object's own server was seen
-	full := ask.Sticky && v.isBusy(now, list)
+	full := ask.Sticky && v.isBusy(now, ask.Service)
 	for _, c := range list {
 		if c.cold {
 			if v.takeCold(now, c.server) {
@@ -191,16 +192,31 @@
 	return best
 }
 
-// isBusy reports whether most slots of a service are taken.
-func (v *View) isBusy(now time.Duration, list []candidate) bool {
+// isBusy reports whether most slots of a service are taken. It looks at all
+// servers only from time to time.
+func (v *View) isBusy(now time.Duration, service core.ServiceID) bool {
+	last := v.busy[service]
+	if last.at > 0 && now < last.at+busyLife {
+		return last.most
+	}
 	busy, slots := 0.0, 0.0
-	for _, c := range list {
-		busy += min(c.busy(now), float64(c.Slots))
-		slots += float64(c.Slots)
+	for _, s := range v.services[service] {
+		if s.doubt || v.evacuated[s.Domain] {
+			continue
+		}
+		busy += min(s.busy(now), float64(s.Slots))
+		slots += float64(s.Slots)
 	}
+	v.busy[service] = load{at: now, most: busy > spillBusy*slots}
 	return busy > spillBusy*slots
 }
 
+// load says whether most slots of a service were taken at a time.
+type load struct {
+	at   time.Duration
+	most bool
+}
+
 // work returns the mean time in which servers of a service answer without a
 // queue.
 func (v *View) work(service core.ServiceID) time.Duration {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -56,11 +56,12 @@
 
 	mu        sync.Mutex
 	servers   map[core.ServerID]*server
-	services  map[core.ServiceID][]*server // servers that are listed, by name
+	services  map[core.ServiceID][]*server // servers that are listed
+	stale     bool                         // services is older than the entries
 	evacuated map[core.DomainID]bool
 	works     map[core.ServiceID]time.Duration // mean time of answers without a queue
+	busy      map[core.ServiceID]load
 	demands   map[core.ServiceID]*demand
-	weights   map[core.ServiceID]weights
 }
 
 // server is what the host knows of one server. View.mu guards it.
@@ -69,6 +70,8 @@
 	listed    bool
 	goneAt    time.Duration // when a lapsed entry stops to count; 0 if it has not lapsed
 	hash      uint64
+	weight    float64 // share of objects that it should own
+	large     float64 // the same for objects with large answers
 	inFlight  int
 	remote    int // work in flight of other hosts, as they report it
 	load      int // work at the server by its own report, without that of this host
@@ -89,8 +92,8 @@
 		services:  make(map[core.ServiceID][]*server),
 		evacuated: make(map[core.DomainID]bool),
 		works:     make(map[core.ServiceID]time.Duration),
+		busy:      make(map[core.ServiceID]load),
 		demands:   make(map[core.ServiceID]*demand),
-		weights:   make(map[core.ServiceID]weights),
 	}
 }
 
@@ -120,7 +123,7 @@
 	case reborn:
 		s.coldUntil = now + v.coldFor(i.Service)
 	}
-	v.rebuild()
+	v.stale = true
 	return !same
 }
 
@@ -156,7 +159,7 @@
 	if s.inFlight == 0 {
 		delete(v.servers, s.Name)
 	}
-	v.rebuild()
+	v.stale = true
 }
 
 // Expire drops the lapsed entries whose time is over and asks for the health
@@ -176,8 +179,14 @@
 	}
 }
 
-// rebuild lists the servers that may be chosen, by service.
-func (v *View) rebuild() {
+// refresh lists the servers that may be chosen, by service, if entries have
+// changed. A list of thousands of entries arrives at once, so that it waits
+// for the next use.
+func (v *View) refresh() {
+	if !v.stale {
+		return
+	}
+	v.stale = false
 	clear(v.services)
 	for _, s := range v.servers {
 		if s.listed && s.State == core.InstanceReady {
@@ -205,7 +214,7 @@
 		}
 	}
 	v.evacuated = domains
-	v.reweigh()
+	v.stale = true
 }
 
 // Names returns the servers that are listed.
--- a/core/place/share.go
+++ b/core/place/share.go
@@ -120,13 +120,11 @@
 	return weights
 }
 
-// weights holds the weight of a slot by failure domain or region.
-type weights struct {
-	domains map[string]float64
-	regions map[string]float64
-}
-
-// reweigh brings the weights of all services up to date.
+// reweigh sets the weight of each server: its share of the objects. An object
+// has an owner in each region, so that few servers have to learn it; one with
+// large answers has an owner in each failure domain, as bytes between domains
+// cost. Servers of one area weigh alike by slot, so that all hosts agree on
+// their order for an object.
 func (v *View) reweigh() {
 	for service, servers := range v.services {
 		d := v.demands[service]
@@ -134,31 +132,46 @@
 			d = &demand{at: v.cfg.Timer.Now()}
 			v.demands[service] = d
 		}
-		domains, regions := make(map[string]*area), make(map[string]*area)
-		for domain, region := range v.cfg.Regions {
-			a := &area{group: string(region), work: d.work[domain]}
-			for _, s := range servers {
-				if s.Domain == domain && !v.evacuated[domain] {
-					a.slots += float64(s.Slots)
-				}
-			}
-			domains[string(domain)] = a
-			r := regions[string(region)]
-			if r == nil {
-				r = &area{}
-				regions[string(region)] = r
-			}
-			r.slots += a.slots
-			r.work += a.work
+		domains, regions := v.areas(servers, d)
+		byDomain, byRegion := map[string]float64{}, map[string]float64{}
+		if domains[string(v.cfg.Domain)] != nil && regions[string(v.cfg.Region)] != nil {
+			byDomain = shares(string(v.cfg.Domain), domains, spread(domains))
+			byRegion = shares(string(v.cfg.Region), regions, spread(regions))
 		}
-		if domains[string(v.cfg.Domain)] == nil || regions[string(v.cfg.Region)] == nil {
-			continue
+		for _, s := range servers {
+			s.weight = slotWeight(byRegion[string(v.cfg.Regions[s.Domain])]) * float64(s.Slots)
+			s.large = slotWeight(byDomain[string(s.Domain)]) * float64(s.Slots)
 		}
-		v.weights[service] = weights{
-			domains: shares(string(v.cfg.Domain), domains, spread(domains)),
-			regions: shares(string(v.cfg.Region), regions, spread(regions)),
+	}
+}
+
+// slotWeight returns the weight of a slot; 1 in an area that the settings do
+// not name.
+func slotWeight(w float64) float64 {
+	if w > 0 {
+		return w
+	}
+	return 1
+}
+
+// areas returns the failure domains and regions with the slots and the
+// demand of a service.
+func (v *View) areas(servers []*server, d *demand) (domains, regions map[string]*area) {
+	domains, regions = make(map[string]*area), make(map[string]*area)
+	for domain, region := range v.cfg.Regions {
+		domains[string(domain)] = &area{group: string(region), work: d.work[domain]}
+		regions[string(region)] = &area{}
+	}
+	for _, s := range servers {
+		if a := domains[string(s.Domain)]; a != nil && !v.evacuated[s.Domain] {
+			a.slots += float64(s.Slots)
 		}
 	}
+	for _, a := range domains {
+		regions[a.group].slots += a.slots
+		regions[a.group].work += a.work
+	}
+	return domains, regions
 }
 
 // SetRemote replaces what other hosts have in flight at each server, by the
@@ -167,6 +180,7 @@
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.refresh()
 	inFlight := make(map[core.ServiceID]map[core.DomainID]float64)
 	add := func(s *server, domain core.DomainID, n int) {
 		if inFlight[s.Service] == nil {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,7 @@
 
 	mu      sync.Mutex
 	buckets map[core.WorkspaceID]*bucket
-	names   []core.HostID // other hosts
+	names   []core.HostID // other hosts, in order
 	hosts   int           // hosts that may take requests, this one included
 	certain bool          // all of them have reported their demand
 }
@@ -85,6 +86,8 @@
 	reports     []report      // what this host reported, oldest first
 	least       float64       // depth at least
 	askAfter    time.Duration // when other hosts may be asked again
+	before      int           // hosts that come before this one as holders
+	ranked      bool          // before is valid for the hosts that are known
 }
 
 // New returns a limiter without workspaces.
@@ -232,13 +235,19 @@
 	Listed  bool                         // there are no other hosts than these
 }
 
-// SetOthers takes in the demand at the other hosts. While some of them have
+// SetOthers takes in the demand at the other hosts, whose list it sorts. While some of them have
 // not reported, each host gets an even share.
 func (l *Limiter) SetOthers(o Others) {
 	now := l.cfg.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.names, l.hosts, l.certain = o.Hosts, len(o.Hosts)+1, o.Listed && o.Unheard == 0
+	if slices.Sort(o.Hosts); !slices.Equal(o.Hosts, l.names) {
+		l.names = o.Hosts
+		for _, b := range l.buckets {
+			b.ranked = false
+		}
+	}
+	l.hosts, l.certain = len(o.Hosts)+1, o.Listed && o.Unheard == 0
 	if !o.Listed {
 		l.hosts = max(l.hosts, unknownHosts)
 	}
@@ -272,7 +281,7 @@
 		return
 	}
 	b.share = (1 - heldShare) * byDemand
-	if holders := max(int(b.burst/wholeBurst), 1); l.rank(b.name) < holders {
+	if holders := max(int(b.burst/wholeBurst), 1); l.rank(b) < holders {
 		b.share += heldShare / float64(holders)
 	}
 }
@@ -299,13 +308,17 @@
 
 // rank returns how many hosts come before this one among those that hold the
 // burst of a workspace. All hosts rank one another alike.
-func (l *Limiter) rank(w core.WorkspaceID) int {
-	own, before := rankHash(w, l.cfg.Host), 0
+func (l *Limiter) rank(b *bucket) int {
+	if b.ranked {
+		return b.before
+	}
+	own, before := rankHash(b.name, l.cfg.Host), 0
 	for _, name := range l.names {
-		if rankHash(w, name) < own {
+		if rankHash(b.name, name) < own {
 			before++
 		}
 	}
+	b.before, b.ranked = before, true
 	return before
 }
 
