gossip: sum up a domain's demand and work in its digest

Cause: a digest held the demand, work in flight and spare tokens of each host of a domain, hosts times workspaces. With 50 hosts it did not fit into a datagram, so that other domains did not hear of them; the error was logged at debug level only. Each question for a peer sorted a copy of all.

Change: the digest sums up demand and work, and names the spare tokens of the host with the most. What is too large is logged as an error. Questions look at the peers in place.

--- a/app/edge/beats.go
+++ b/app/edge/beats.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"azurering/core"
+	"azurering/core/codes"
 	"azurering/core/gossip"
 	"azurering/core/quota"
 	"azurering/core/timer"
@@ -95,7 +96,12 @@
 
 func (h *host) sendBeats() {
 	for _, m := range h.members.Tick(h.beat()) {
-		if err := h.beacon.Send(m.Digest, m.Addresses); err != nil {
+		err := h.beacon.Send(m.Digest, m.Addresses)
+		switch {
+		case codes.Of(err) == codes.PeerFrame:
+			h.cfg.Log.WithError(err).Error("edge: beat is too large; other hosts do not hear of this one")
+		case err != nil:
+			// Hosts that are down refuse datagrams.
 			h.cfg.Log.WithError(err).Debug("edge: beat was not sent to all hosts")
 		}
 	}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -58,11 +58,17 @@
 }
 
 // Digest is a message between hosts: the beat of its sender, or those of a
-// whole domain.
+// whole domain. The beats of a domain come without their demand and work in
+// flight, which the digest sums up, and with the spare tokens of those hosts
+// only that have the most: so it grows with the hosts, the workspaces and the
+// servers, and not with their products.
 type Digest struct {
 	Domain core.DomainID // of the sender
 	Passed bool          // it was passed on by a host of the receiver's domain
-	Beats  []Beat
+	Beats  []Beat        // that of the sender first
+	// Demand and InFlight are those of the whole domain.
+	Demand   map[core.WorkspaceID]float64
+	InFlight map[core.ServerID]int
 }
 
 // Message is a digest with the addresses that get it.
@@ -92,6 +98,15 @@
 	self   Beat
 	listed bool // the store's list was read
 	peers  map[core.HostID]*peer
+	sums   map[core.DomainID]*sum // of the other domains
+}
+
+// sum is what the hosts of a domain report together.
+type sum struct {
+	from     Beat // of the host that summed up
+	at       time.Duration
+	demand   map[core.WorkspaceID]float64
+	inFlight map[core.ServerID]int
 }
 
 type peer struct {
@@ -102,7 +117,7 @@
 
 // New returns a view without other hosts.
 func New(cfg Config) *View {
-	return &View{cfg: cfg, self: cfg.Self, peers: make(map[core.HostID]*peer)}
+	return &View{cfg: cfg, self: cfg.Self, peers: make(map[core.HostID]*peer), sums: make(map[core.DomainID]*sum)}
 }
 
 // Meet takes in the store's list of the hosts that may exist.
@@ -126,6 +141,9 @@
 	for _, b := range d.Beats {
 		v.hear(now, b)
 	}
+	if d.Domain != v.self.Domain && len(d.Beats) > 0 {
+		v.hearSum(now, d)
+	}
 	if d.Passed || d.Domain == v.self.Domain || !v.leads(now) {
 		return nil
 	}
@@ -137,12 +155,26 @@
 		return
 	}
 	p := v.peers[b.Host]
-	if p != nil && p.heard && (b.Boot < p.Boot || b.Boot == p.Boot && b.Count <= p.Count) {
+	if p != nil && p.heard && !b.follows(p.Beat) {
 		return
 	}
 	v.peers[b.Host] = &peer{Beat: b, heard: true, at: now - b.Age}
 }
 
+// hearSum takes in the sums of another domain.
+func (v *View) hearSum(now time.Duration, d Digest) {
+	from, old := d.Beats[0], v.sums[d.Domain]
+	if old != nil && from.Host == old.from.Host && !from.follows(old.from) {
+		return
+	}
+	v.sums[d.Domain] = &sum{from: from, at: now, demand: d.Demand, inFlight: d.InFlight}
+}
+
+// follows reports whether a beat is later than another of the same host.
+func (b *Beat) follows(other Beat) bool {
+	return b.Boot > other.Boot || b.Boot == other.Boot && b.Count > other.Count
+}
+
 // Tick takes in this host's own beat and returns the messages to send.
 func (v *View) Tick(own Beat) []Message {
 	now := v.cfg.Timer.Now()
@@ -157,14 +189,45 @@
 	return messages
 }
 
-// digest holds the beats of this host's domain.
+// digest holds the beats of this host's domain, summed up.
 func (v *View) digest(now time.Duration) Digest {
-	d := Digest{Domain: v.self.Domain, Beats: []Beat{v.self}}
-	for _, p := range v.mates(now) {
+	d := Digest{
+		Domain: v.self.Domain, Beats: []Beat{v.self},
+		Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.ServerID]int),
+	}
+	addDemand(d.Demand, v.self.Demand)
+	addWork(d.InFlight, v.self.InFlight)
+	for _, p := range v.peers {
+		if p.Domain != v.self.Domain || !v.counts(now, p) {
+			continue
+		}
+		addDemand(d.Demand, p.Demand)
+		if !v.alive(now, p) {
+			continue
+		}
+		addWork(d.InFlight, p.InFlight)
 		b := p.Beat
 		b.Age = now - p.at
 		d.Beats = append(d.Beats, b)
 	}
+	most := make(map[core.WorkspaceID]int) // which beat has the most tokens
+	for i, b := range d.Beats {
+		for w, n := range b.Spare {
+			if first, ok := most[w]; !ok || n > d.Beats[first].Spare[w] {
+				most[w] = i
+			}
+		}
+	}
+	spare := make([]map[core.WorkspaceID]int, len(d.Beats))
+	for w, i := range most {
+		if spare[i] == nil {
+			spare[i] = make(map[core.WorkspaceID]int)
+		}
+		spare[i][w] = d.Beats[i].Spare[w]
+	}
+	for i := range d.Beats {
+		d.Beats[i].Demand, d.Beats[i].InFlight, d.Beats[i].Spare = nil, nil, spare[i]
+	}
 	return d
 }
 
@@ -288,45 +351,66 @@
 // Mates returns the hosts of a domain that are alive and ready, in order of
 // their names. This host counts as ready.
 func (v *View) Mates(d core.DomainID) []core.HostID {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	var names []core.HostID
-	for _, p := range v.Peers() {
-		if p.Alive && p.Ready && p.Domain == d {
-			names = append(names, p.Host)
-		}
-	}
 	if v.cfg.Self.Domain == d {
 		names = append(names, v.cfg.Self.Host)
-		sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
 	}
+	for _, p := range v.peers {
+		if p.Domain == d && p.Ready && v.alive(now, p) {
+			names = append(names, p.Host)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
 	return names
 }
 
 // Newest returns the newest change of a table that another host reports, and
 // the address of a host that has it: one of the own domain if there is one.
 func (v *View) Newest(t core.FeedTable) (version uint64, address string) {
-	near := false
-	for _, p := range v.Peers() {
-		change := p.Changes[t]
-		mate := p.Domain == v.cfg.Self.Domain
-		if p.Alive && (change > version || change == version && mate && !near) {
-			version, address, near = change, p.Address, mate
-		}
-	}
-	return version, address
+	return v.best(func(b *Beat) uint64 { return b.Changes[t] }, true)
 }
 
 // Spare returns the address of the host that others may ask for tokens of a
 // workspace: one of the own domain if there is one, and the one with the
 // most. It is empty if no host has any.
 func (v *View) Spare(w core.WorkspaceID) string {
-	best, near, address := 0, false, ""
-	for _, p := range v.Peers() {
-		mate := p.Domain == v.cfg.Self.Domain
-		if spare := p.Spare[w]; p.Alive && spare > 0 && (mate && !near || mate == near && spare > best) {
-			best, near, address = spare, mate, p.Address
+	_, address := v.best(func(b *Beat) uint64 { return uint64(b.Spare[w]) }, false)
+	return address
+}
+
+// best returns the highest value that a live host reports, and its address.
+// Either the value goes first or the own domain; then the order of names
+// decides. Values of 0 do not count.
+func (v *View) best(value func(*Beat) uint64, valueFirst bool) (most uint64, address string) {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var best *peer
+	better := func(p *peer, n uint64) bool {
+		mate, other := p.Domain == v.cfg.Self.Domain, best.Domain == v.cfg.Self.Domain
+		switch {
+		case valueFirst && n != most:
+			return n > most
+		case mate != other:
+			return mate
+		case n != most:
+			return n > most
 		}
+		return p.Host < best.Host
 	}
-	return address
+	for _, p := range v.peers {
+		n := value(&p.Beat)
+		if n > 0 && v.alive(now, p) && (best == nil || better(p, n)) {
+			best, most = p, n
+		}
+	}
+	if best == nil {
+		return 0, ""
+	}
+	return most, best.Address
 }
 
 // Spent takes in that a host had no tokens of a workspace left. Its next beat
@@ -357,6 +441,12 @@
 	Listed   bool                                    // the store's list was read, so that there are no more hosts
 }
 
+// counts reports whether a host may still admit requests: it is alive, or may
+// only be cut off.
+func (v *View) counts(now time.Duration, p *peer) bool {
+	return now < p.at+forget && (p.heard || v.isNew(now, p))
+}
+
 // Totals sums up what the other hosts report. Hosts that fell silent a
 // short while ago count for demand, as they may only be cut off, but not for
 // the requests in flight.
@@ -365,26 +455,43 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := Totals{Listed: v.listed, Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.DomainID]map[core.ServerID]int)}
+	own := make(map[core.ServerID]int)
 	for _, p := range v.peers {
-		if now >= p.at+forget || !p.heard && !v.isNew(now, p) {
+		if !v.counts(now, p) {
 			continue
 		}
 		t.Hosts = append(t.Hosts, p.Host)
 		if !p.heard {
 			t.Unheard++
 		}
-		for w, d := range p.Demand {
-			t.Demand[w] += d
-		}
-		if !v.alive(now, p) {
+		if p.Domain != v.self.Domain {
 			continue
 		}
-		if t.InFlight[p.Domain] == nil {
-			t.InFlight[p.Domain] = make(map[core.ServerID]int)
+		addDemand(t.Demand, p.Demand)
+		if v.alive(now, p) {
+			addWork(own, p.InFlight)
 		}
-		for s, n := range p.InFlight {
-			t.InFlight[p.Domain][s] += n
+	}
+	t.InFlight[v.self.Domain] = own
+	for domain, s := range v.sums {
+		if now < s.at+forget {
+			addDemand(t.Demand, s.demand)
+		}
+		if now < s.at+farSilence {
+			t.InFlight[domain] = s.inFlight
 		}
 	}
 	return t
 }
+
+func addDemand(to, from map[core.WorkspaceID]float64) {
+	for w, d := range from {
+		to[w] += d
+	}
+}
+
+func addWork(to, from map[core.ServerID]int) {
+	for s, n := range from {
+		to[s] += n
+	}
+}
--- a/io/beacon/beacon.go
+++ b/io/beacon/beacon.go
@@ -15,8 +15,12 @@
 	"azurering/core/gossip"
 )
 
-// maxDatagram is the largest UDP payload.
-const maxDatagram = 65507
+const (
+	// maxDatagram is the largest UDP payload.
+	maxDatagram = 65507
+	// maxDigest is the largest digest. Its kind goes before it.
+	maxDigest = maxDatagram - 1
+)
 
 // Config configures a Beacon. All fields are required.
 type Config struct {
--- a/io/beacon/beat.go
+++ b/io/beacon/beat.go
@@ -30,10 +30,12 @@
 
 // digestWire is a datagram.
 type digestWire struct {
-	_      struct{} `cbor:",toarray"`
-	Domain string
-	Passed bool
-	Beats  []beatWire
+	_        struct{} `cbor:",toarray"`
+	Domain   string
+	Passed   bool
+	Beats    []beatWire
+	Demand   map[string]float32 // of the domain
+	InFlight map[string]uint16  // of the domain
 }
 
 // EncodeBeat returns the entry of a host in the store's list.
@@ -51,13 +53,20 @@
 	return fromWire(w), nil
 }
 
-// EncodeDigest returns the datagram of a digest.
+// EncodeDigest returns the datagram of a digest. Errors carry PeerFrame if it
+// does not fit.
 func EncodeDigest(d gossip.Digest) ([]byte, error) {
-	w := digestWire{Domain: string(d.Domain), Passed: d.Passed, Beats: make([]beatWire, 0, len(d.Beats))}
+	w := digestWire{
+		Domain: string(d.Domain), Passed: d.Passed, Beats: make([]beatWire, 0, len(d.Beats)),
+		Demand: demandWire(d.Demand), InFlight: workWire(d.InFlight),
+	}
 	for _, b := range d.Beats {
 		w.Beats = append(w.Beats, toWire(b))
 	}
 	raw, err := cbor.Marshal(w)
+	if err == nil && len(raw) > maxDigest {
+		return nil, codes.New(codes.PeerFrame, "beacon: digest of %d bytes is over %d", len(raw), maxDigest)
+	}
 	return raw, codes.Wrap(err, codes.Internal, "beacon: digest cannot be encoded")
 }
 
@@ -67,7 +76,10 @@
 	if err := cbor.Unmarshal(raw, &w); err != nil {
 		return gossip.Digest{}, codes.Wrap(err, codes.PeerFrame, "beacon: digest cannot be decoded")
 	}
-	d := gossip.Digest{Domain: core.DomainID(w.Domain), Passed: w.Passed, Beats: make([]gossip.Beat, 0, len(w.Beats))}
+	d := gossip.Digest{
+		Domain: core.DomainID(w.Domain), Passed: w.Passed, Beats: make([]gossip.Beat, 0, len(w.Beats)),
+		Demand: demandFrom(w.Demand), InFlight: workFrom(w.InFlight),
+	}
 	for _, b := range w.Beats {
 		d.Beats = append(d.Beats, fromWire(b))
 	}
@@ -79,18 +91,11 @@
 		Host: string(b.Host), Domain: string(b.Domain), Address: b.Address, Boot: b.Boot, Count: b.Count, Ready: b.Ready,
 		Lost: b.Lost, Age: b.Age.Milliseconds(),
 		Operator: b.Changes[core.FeedOperator], Servers: b.Changes[core.FeedServers],
-		Demand: make(map[string]float32, len(b.Demand)), InFlight: make(map[string]uint16, len(b.InFlight)),
-		Spare: make(map[string]uint16, len(b.Spare)),
+		Demand: demandWire(b.Demand), InFlight: workWire(b.InFlight), Spare: make(map[string]uint16, len(b.Spare)),
 	}
 	for name, n := range b.Spare {
 		w.Spare[string(name)] = uint16(min(n, 1<<16-1))
 	}
-	for name, d := range b.Demand {
-		w.Demand[string(name)] = float32(d)
-	}
-	for id, n := range b.InFlight {
-		w.InFlight[string(id)] = uint16(min(n, 1<<16-1))
-	}
 	return w
 }
 
@@ -98,19 +103,43 @@
 	b := gossip.Beat{
 		Host: core.HostID(w.Host), Domain: core.DomainID(w.Domain), Address: w.Address, Boot: w.Boot, Count: w.Count, Ready: w.Ready,
 		Lost: w.Lost, Age: time.Duration(max(w.Age, 0)) * time.Millisecond,
-		Changes:  map[core.FeedTable]uint64{core.FeedOperator: w.Operator, core.FeedServers: w.Servers},
-		Demand:   make(map[core.WorkspaceID]float64, len(w.Demand)),
-		InFlight: make(map[core.ServerID]int, len(w.InFlight)),
-		Spare:    make(map[core.WorkspaceID]int, len(w.Spare)),
+		Changes: map[core.FeedTable]uint64{core.FeedOperator: w.Operator, core.FeedServers: w.Servers},
+		Demand:  demandFrom(w.Demand), InFlight: workFrom(w.InFlight), Spare: make(map[core.WorkspaceID]int, len(w.Spare)),
 	}
 	for name, n := range w.Spare {
 		b.Spare[core.WorkspaceID(name)] = int(n)
 	}
-	for name, d := range w.Demand {
-		b.Demand[core.WorkspaceID(name)] = float64(d)
+	return b
+}
+
+func demandWire(demand map[core.WorkspaceID]float64) map[string]float32 {
+	w := make(map[string]float32, len(demand))
+	for name, d := range demand {
+		w[string(name)] = float32(d)
 	}
-	for id, n := range w.InFlight {
-		b.InFlight[core.ServerID(id)] = int(n)
+	return w
+}
+
+func demandFrom(w map[string]float32) map[core.WorkspaceID]float64 {
+	demand := make(map[core.WorkspaceID]float64, len(w))
+	for name, d := range w {
+		demand[core.WorkspaceID(name)] = float64(d)
 	}
-	return b
+	return demand
+}
+
+func workWire(work map[core.ServerID]int) map[string]uint16 {
+	w := make(map[string]uint16, len(work))
+	for id, n := range work {
+		w[string(id)] = uint16(min(n, 1<<16-1))
+	}
+	return w
+}
+
+func workFrom(w map[string]uint16) map[core.ServerID]int {
+	work := make(map[core.ServerID]int, len(w))
+	for id, n := range w {
+		work[core.ServerID(id)] = int(n)
+	}
+	return work
 }
