edge: ask a second host for tokens

One question in six found no token: reports of spare tokens are up to a second old.

Change: a second host is asked if the first gives none. Fails first: with one lender the test gets no token.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -36,6 +36,9 @@
 	// lookupLife is how long callers use the answer of a look-up.
 	lookupLife = 2 * time.Second
 	sweepEvery = time.Second
+	// lenders is how many hosts are asked for a token of a workspace's rate.
+	// What the first has told of its tokens is up to a second old.
+	lenders = 2
 )
 
 // host runs the duties of one process.
@@ -184,25 +187,29 @@
 	return g
 }
 
-// borrow asks another host for tokens of a workspace, and reports whether the
-// request that needs one got it.
+// borrow asks another host for tokens of a workspace, and a second one if the
+// first has none left. It reports whether the request that needs one got it.
 func (h *host) borrow(ctx context.Context, w core.WorkspaceID) bool {
-	from := h.members.Spare(w)
-	if from == "" {
-		return false
-	}
 	want := h.limiter.Want(w)
 	if want == 0 {
 		return false
 	}
-	given, err := h.beacon.Ask(ctx, from, w, want)
-	got := h.limiter.Receive(w, given)
-	if given < want {
-		h.members.Spent(w, from)
+	for range lenders {
+		from := h.members.Spare(w)
+		if from == "" {
+			return false
+		}
+		given, err := h.beacon.Ask(ctx, from, w, want)
+		if given < want {
+			h.members.Spent(w, from)
+		}
+		h.cfg.Log.WithFields(logrus.Fields{"event": "tokens", "workspace": w, "from": from, "want": want, "given": given}).
+			WithError(err).Debug("edge: tokens asked for")
+		if h.limiter.Receive(w, given) {
+			return true
+		}
 	}
-	h.cfg.Log.WithFields(logrus.Fields{"event": "tokens", "workspace": w, "from": from, "want": want, "given": given}).
-		WithError(err).Debug("edge: tokens asked for")
-	return got
+	return false
 }
 
 func (h *host) serve(ctx context.Context, c *core.Call) *core.Reply {
