beacon: encode a copy of a table once for hosts that ask together

After all were killed, 50 hosts of a domain ask one of them for the whole list of 3,000 servers at once, and each got an encoding of its own.

Change: the last encoding of each table is kept and serves all who ask for the same versions.

--- a/io/beacon/copy.go
+++ b/io/beacon/copy.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -43,10 +44,37 @@
 	Lapsed bool
 }
 
+// encoding keeps the last copy that was sent of a table. All hosts of a
+// domain ask for the same one after they were started together; encoded for
+// each of them it took most of a host's memory with 50 hosts a domain.
+type encoding struct {
+	mu                  sync.Mutex
+	after, asOf, change uint64
+	lapsed              bool
+	raw                 []byte
+}
+
+func (e *encoding) encode(c mirror.Copy) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.raw != nil && e.after == c.After && e.asOf == c.AsOf && e.change == c.Change && e.lapsed == c.Lapsed {
+		return e.raw, nil
+	}
+	raw, err := encodeCopy(c)
+	if err == nil {
+		e.after, e.asOf, e.change, e.lapsed, e.raw = c.After, c.AsOf, c.Change, c.Lapsed, raw
+	}
+	return raw, err
+}
+
 // CopyHandler serves the followed tables, or what changed in them after a
 // version, to other hosts.
 func CopyHandler(tables map[core.FeedTable]*mirror.Mirror) http.Handler {
 	g := gin.New()
+	encodings := make(map[core.FeedTable]*encoding, len(tables))
+	for t := range tables {
+		encodings[t] = &encoding{}
+	}
 	g.GET(copyPath+":table", func(c *gin.Context) {
 		m := tables[core.FeedTable(c.Param("table"))]
 		if m == nil {
@@ -59,7 +87,7 @@
 		}
 		defer func() { _ = socket.CloseNow() }()
 		after, _ := strconv.ParseUint(c.Query("after"), 10, 64) // 0, if missing, for the whole table
-		raw, err := encodeCopy(m.Copy(after))
+		raw, err := encodings[core.FeedTable(c.Param("table"))].encode(m.Copy(after))
 		if err != nil {
 			return
 		}
