place: leave cold servers out that this host may not warm

Cause: since a request looks at 24 servers only, a region that comes back cold as a whole hid all others: its servers rank first, none may get a request of most hosts, and the request was refused as if all were full. Found by reading the change again.

Change: servers that are not for this host to warm are left out while ranking. The order of the hosts is looked up once in 400 ms and not for each cold server. The test of it fails without the change. The soak takes typed bounds, so that no name of the platform is left in it.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -26,6 +26,9 @@
 	// maxCandidates is how many servers a request looks at. That so many are
 	// full or avoided while others are not is rare.
 	maxCandidates = 24
+	// positionLife is how long the order of the hosts of a domain counts as
+	// known: until their next beat.
+	positionLife = 400 * time.Millisecond
 	// defaultWork is the assumed time of a request before the first answer.
 	defaultWork = 250 * time.Millisecond
 	// coldSpacing is the least time between two requests of one host to a
@@ -78,15 +81,21 @@
 }
 
 // candidates returns the servers that may get the request, best first, and
-// no more than a request needs to look at.
-func (v *View) candidates(now time.Duration, ask Ask) []candidate {
+// no more than a request needs to look at. It reports whether there are any,
+// those included that are cold and not for this host to warm.
+func (v *View) candidates(now time.Duration, ask Ask) (list []candidate, exist bool) {
 	v.refresh()
 	object := hashName(ask.Object)
-	list := make([]candidate, 0, maxCandidates+1)
+	list = make([]candidate, 0, maxCandidates+1)
 	for _, s := range v.services[ask.Service] {
 		if s.doubt || v.evacuated[s.Domain] || !v.allowed(s, ask) {
 			continue
 		}
+		exist = true
+		cold := now < s.coldUntil
+		if cold && !v.mayWarm(now, s) {
+			continue
+		}
 		// Weighted rendezvous hashing: an exponential variate with the
 		// weight as its rate.
 		weight := s.weight
@@ -98,10 +107,10 @@
 			continue
 		}
 		at := sort.Search(len(list), func(i int) bool { return list[i].rank > rank })
-		list = slices.Insert(list, at, candidate{server: s, rank: rank, cold: now < s.coldUntil})
+		list = slices.Insert(list, at, candidate{server: s, rank: rank, cold: cold})
 		list = list[:min(len(list), maxCandidates)]
 	}
-	return list
+	return list, exist
 }
 
 func (v *View) allowed(s *server, ask Ask) bool {
@@ -137,8 +146,8 @@
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	list := v.candidates(now, ask)
-	if len(list) == 0 {
+	list, exist := v.candidates(now, ask)
+	if !exist {
 		return nil, codes.New(codes.NoServer, "place: no server of service %s may serve this request", ask.Service)
 	}
 	s := v.pick(now, list, ask)
@@ -161,10 +170,8 @@
 	full := ask.Sticky && v.isBusy(now, ask.Service)
 	for _, c := range list {
 		if c.cold {
-			if v.takeCold(now, c.server) {
-				return c.server
-			}
-			continue
+			c.coldNext = now + coldSpacing
+			return c.server
 		}
 		other := ask.Sticky && owned
 		if other && full {
@@ -226,23 +233,26 @@
 	return defaultWork
 }
 
-// takeCold reports whether a cold server may get a request of this host now.
+// mayWarm reports whether a cold server may get a request of this host now.
 // The hosts of the server's own failure domain that come first in order
 // share its rate; all others leave it alone.
-func (v *View) takeCold(now time.Duration, s *server) bool {
-	backing := v.cfg.Service(s.Service)
-	if s.Domain != v.cfg.Domain || backing == nil || now < s.coldNext {
+func (v *View) mayWarm(now time.Duration, s *server) bool {
+	if s.Domain != v.cfg.Domain || now < s.coldNext {
 		return false
 	}
-	allowed := int(backing.ColdRate)
-	for i, mate := range v.cfg.Mates(s.Domain) {
-		if i >= allowed {
-			return false
-		}
-		if mate == v.cfg.Host {
-			s.coldNext = now + coldSpacing
-			return true
-		}
+	backing := v.cfg.Service(s.Service)
+	return backing != nil && v.position(now) < int(backing.ColdRate)
+}
+
+// position returns how many hosts of the own failure domain come before this
+// one.
+func (v *View) position(now time.Duration) int {
+	if v.positionAt > 0 && now < v.positionAt+positionLife {
+		return v.before
 	}
-	return false
+	v.before, v.positionAt = slices.Index(v.cfg.Mates(v.cfg.Domain), v.cfg.Host), now
+	if v.before < 0 {
+		v.before = math.MaxInt // hosts that are not ready warm no server
+	}
+	return v.before
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -54,14 +54,16 @@
 type View struct {
 	cfg Config
 
-	mu        sync.Mutex
-	servers   map[core.ServerID]*server
-	services  map[core.ServiceID][]*server // servers that are listed
-	stale     bool                         // services is older than the entries
-	evacuated map[core.DomainID]bool
-	works     map[core.ServiceID]time.Duration // mean time of answers without a queue
-	busy      map[core.ServiceID]load
-	demands   map[core.ServiceID]*demand
+	mu         sync.Mutex
+	servers    map[core.ServerID]*server
+	services   map[core.ServiceID][]*server // servers that are listed
+	stale      bool                         // services is older than the entries
+	evacuated  map[core.DomainID]bool
+	works      map[core.ServiceID]time.Duration // mean time of answers without a queue
+	busy       map[core.ServiceID]load
+	demands    map[core.ServiceID]*demand
+	before     int           // hosts of the own domain that come before this one
+	positionAt time.Duration // when before was looked up
 }
 
 // server is what the host knows of one server. View.mu guards it.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -318,3 +318,21 @@
 	l.clock.Advance(5 * time.Second)
 	require.Positive(t, l.count(100*time.Millisecond))
 }
+
+// Cold servers that are not for this host to warm must not hide the others,
+// however many there are: a region that comes back is cold as a whole.
+func TestColdServersDoNotHideOthers(t *testing.T) {
+	l := newLab("h9", "a")
+	l.mates = []core.HostID{"h1", "h2", "h3", "h9"}
+	for i := range 60 {
+		cold := instance(i, "a")
+		cold.ColdFor = 3 * time.Second
+		l.view.Put(cold)
+	}
+	_, err := l.view.Acquire(ask("x"))
+	require.Equal(t, codes.NoCapacity, codes.Of(err), "there are servers, and they may not be used yet")
+	l.view.Put(instance(100, "c"))
+	lease, err := l.view.Acquire(ask("x"))
+	require.NoError(t, err)
+	require.Equal(t, core.ServerID("i-100"), lease.Name)
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"azurering/core"
 	"azurering/platform/stand"
 )
 
@@ -204,9 +205,9 @@
 	h := &host{binary: binary, settings: filepath.Join(dir, fmt.Sprint("host-", n, ".json")), Machine: stand.Machine{
 		Name: fmt.Sprintf("edge-%s-%d", d, n), IP: ip, Domain: d, Region: regions[d], Regions: regions,
 		Caller: callerPort, Ready: readyPort, Lookup: lookupPort, Peer: peerPort, Memory: 284,
-		Bounds: map[string]float64{
-			"gracePeriodS": gracePeriod.Seconds(), "ttl_max_s": 5, "retryBudgetRatio": retryRatio, "budgetExtra": retryExtra,
-			"budgetWindowS": retryWindow.Seconds(), "quotaSlack": rateSlack,
+		Bounds: core.Bounds{
+			Grace: gracePeriod, Lookup: 5 * time.Second, RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow,
+			RateSlack: rateSlack,
 		},
 	}}
 	var err error
