--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -25,7 +25,6 @@
 
 // trouble is a time in which a part may not do what it should.
 type trouble struct {
-	name  string
 	scope scope
 	host  int // index, for scopeHost
 	from  time.Time
@@ -189,7 +188,7 @@
 func (w *world) inflict(f fault, e event) {
 	w.mu.Lock()
 	n := len(w.troubles)
-	w.troubles = append(w.troubles, trouble{name: f.name, scope: f.scope, host: e.pick % len(w.hosts), from: time.Now()})
+	w.troubles = append(w.troubles, trouble{scope: f.scope, host: e.pick % len(w.hosts), from: time.Now()})
 	w.mu.Unlock()
 	f.run(w, e)
 	w.mu.Lock()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -51,7 +51,6 @@
 	cmd     *exec.Cmd
 	boot    int
 	down    bool // by the soak's own doing
-	paused  bool
 	exited  chan struct{}
 	problem string // an end that nobody asked for
 }
@@ -81,7 +80,7 @@
 	if !h.down {
 		h.problem = fmt.Sprintf("%s ended by itself: %v", h.Name, err)
 	}
-	h.cmd, h.paused = nil, false
+	h.cmd = nil
 	close(exited)
 }
 
@@ -111,7 +110,6 @@
 	if h.cmd == nil {
 		return
 	}
-	h.paused = s == syscall.SIGSTOP || h.paused && s != syscall.SIGCONT
 	_ = h.cmd.Process.Signal(s)
 }
 
