demo: wait for the host that is stopped before the run ends

Cause: the goroutine that stops a host was not waited for. If the stop took longer than the run, its last line raced with the reader of the output, and a stop that failed was not reported.

Change: the run returns once the stops have ended.

--- a/app/demo/faults.go
+++ b/app/demo/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"azurering/core"
@@ -23,11 +24,14 @@
 	faults Faults
 	out    io.Writer
 	length time.Duration
+
+	stopping sync.WaitGroup // hosts that are stopped meanwhile
 }
 
 // run makes the faults at a quarter of the run and heals them at three
-// quarters.
+// quarters. It returns once the hosts that it stopped have ended.
 func (d *director) run(ctx context.Context) {
+	defer d.stopping.Wait()
 	if !d.wait(ctx, d.length/4) {
 		return
 	}
@@ -94,7 +98,7 @@
 		h.app.Kill()
 	}
 	if d.faults.StopEntry {
-		go d.stop(ctx)
+		d.stopping.Go(func() { d.stop(ctx) })
 	}
 }
 
