mirror, picker, edge: log where changes came from and how old removals were

Cause: the logs could not tell whether a late request to a leaving server was due to the grace time of lapsed entries, to a late copy, to an ignored entry, or to a slow connection.

Picker.Update returns what it did with an entry, so the test of late reports now requires the exact result.

--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -33,6 +33,13 @@
 		"servers": strings.Join(servers, ","), "version": d.Version, "status": d.Status, "code": int(d.Code),
 		"held": d.WaitTime.Milliseconds(), "took": d.Duration.Milliseconds(), "object": c.AffinityKey,
 	}
+	if len(servers) > 0 {
+		fields["connect"] = d.ConnectTime.Milliseconds()
+	}
+	if d.RemovedFor > 0 {
+		fields["removed"] = d.RemovedFor.Milliseconds()
+		r.metrics.CountLapsedUse()
+	}
 	if callerLeft {
 		fields["left"] = true
 	}
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -61,12 +61,12 @@
 }
 
 func (w *clusterState) newMirror(
-	t core.Timer, feed core.Feed, members *gossip.Members, table core.FeedTable, changed func([]core.Record, bool),
+	t core.Timer, feed core.Feed, members *gossip.Members, table core.FeedTable, changed func(mirror.Change),
 ) *mirror.Mirror {
 	return mirror.New(mirror.Config{
 		Table: table, Feed: feed, Timer: t, PollTimeout: longPollWait, FollowsStore: members.FollowsStore,
-		OnChange: func(rows []core.Record, lapsed bool) {
-			changed(rows, lapsed)
+		OnChange: func(c mirror.Change) {
+			changed(c)
 			if !members.FollowsStore() {
 				return // other hosts learned of it no later than this one
 			}
@@ -116,23 +116,23 @@
 	return core.Limits{}
 }
 
-func (w *clusterState) operatorChanged(rows []core.Record, _ bool) {
+func (w *clusterState) operatorChanged(c mirror.Change) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	evacuated := make(map[core.DomainID]bool, len(w.evacuated))
 	for d := range w.evacuated {
 		evacuated[d] = true
 	}
-	for _, r := range rows {
+	for _, r := range c.Rows {
 		if w.cfg.Decode.IsRules(r.Key) {
-			w.applyRules(r)
+			w.applyRules(r, sourceName(c))
 			continue
 		}
 		domain, ok := w.cfg.Decode.EvacuatedDomain(r.Key)
 		if !ok {
 			continue
 		}
-		w.log.WithFields(logrus.Fields{"event": "evacuate", "domain": domain, "over": r.Removed, "version": r.Version}).Info("edge: evacuation changed")
+		w.log.WithFields(logrus.Fields{"event": "evacuate", "domain": domain, "over": r.Removed, "version": r.Version, "source": sourceName(c)}).Info("edge: evacuation changed")
 		if r.Removed {
 			delete(evacuated, domain)
 		} else {
@@ -143,10 +143,19 @@
 	w.view.SetEvacuated(evacuated)
 }
 
+// sourceName returns where a change was read, for logs: "store", or the address
+// of the host whose copy had it.
+func sourceName(c mirror.Change) string {
+	if c.Source == "" {
+		return "store"
+	}
+	return c.Source
+}
+
 // applyRules puts a version of the configuration in force. A version that is
 // not newer than the one in force is ignored.
-func (w *clusterState) applyRules(r core.Record) {
-	log := w.log.WithFields(logrus.Fields{"event": "rules", "row": r.Version})
+func (w *clusterState) applyRules(r core.Record, source string) {
+	log := w.log.WithFields(logrus.Fields{"event": "rules", "row": r.Version, "source": source})
 	if r.Removed {
 		log.Warn("edge: configuration was removed; the last one stays in force")
 		return
@@ -166,12 +175,12 @@
 	log.WithFields(logrus.Fields{"version": rules.Version, "routes": len(rules.Routes)}).Info("edge: configuration in force")
 }
 
-func (w *clusterState) serversChanged(rows []core.Record, lapsed bool) {
-	for _, r := range rows {
-		log := w.log.WithFields(logrus.Fields{"event": "server", "server": r.Key, "version": r.Version})
+func (w *clusterState) serversChanged(c mirror.Change) {
+	for _, r := range c.Rows {
+		log := w.log.WithFields(logrus.Fields{"event": "server", "server": r.Key, "version": r.Version, "source": sourceName(c)})
 		if r.Removed {
-			w.view.Remove(core.ServerID(r.Key), lapsed)
-			log.WithField("lapsed", lapsed).Info("edge: entry of a server was removed")
+			w.view.Remove(core.ServerID(r.Key), c.Lapsed)
+			log.WithField("lapsed", c.Lapsed).Info("edge: entry of a server was removed")
 			continue
 		}
 		i, err := w.cfg.Decode.Instance(r.Key, r.Value)
@@ -180,8 +189,12 @@
 			log.WithError(err).Warn("edge: entry of a server is not usable; the server gets no requests")
 			continue
 		}
-		if w.view.Update(i) {
-			log.WithFields(logrus.Fields{"state": i.State, "address": i.Address, "cold": i.ColdLeft, "born": i.StartedMs}).Info("edge: entry of a server changed")
+		log = log.WithFields(logrus.Fields{"state": i.State, "address": i.Address, "cold": i.ColdLeft, "born": i.StartedMs})
+		switch w.view.Update(i) {
+		case picker.EntryChanged:
+			log.Info("edge: entry of a server changed")
+		case picker.EntryOlder:
+			log.WithField("sequence", i.Sequence).Warn("edge: entry of a server is older than the known one and is ignored")
 		}
 	}
 }
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -43,6 +43,7 @@
 	HasLoad     bool          // Running and Waiting are set
 	Running     int           // requests that the server executes
 	Waiting     int           // requests in the server's queue
+	ConnectTime time.Duration // time until a connection to the server was available; measured by this host
 }
 
 // ForwardInfo holds what a host adds to the caller's headers in the request to a
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -42,11 +42,9 @@
 	// PollTimeout is how long one call to Feed.Follow waits for changes. A dead
 	// connection is noticed after that time.
 	PollTimeout time.Duration
-	// OnChange is called with the rows of each change, one call at a time, and
-	// after each listing, even if no row changed. Lapsed is set if the store
-	// was unreachable a moment ago, so that removed rows may only have
-	// expired.
-	OnChange func(rows []core.Record, lapsed bool)
+	// OnChange is called with each change, one call at a time, and after each
+	// listing, even if no row changed.
+	OnChange func(Change)
 	// OnStoreState is called with the error when the store becomes unreachable,
 	// and with nil when it is reachable again. It must not call the Mirror.
 	OnStoreState func(err error)
@@ -57,6 +55,15 @@
 	FollowsStore func() bool
 }
 
+// Change holds the rows that changed in one step.
+type Change struct {
+	Rows []core.Record
+	// Lapsed is set if the store was unreachable a moment ago, so that removed
+	// rows may only have expired.
+	Lapsed bool
+	Source string // address of the host whose copy was merged; empty for the store
+}
+
 // Snapshot is the content of a mirror, or the changes after version After.
 type Snapshot struct {
 	Rows        []core.Record
@@ -64,6 +71,7 @@
 	Version     uint64 // version of the store up to which the copy is complete
 	Newest      uint64 // version of the newest change
 	AfterOutage bool   // the store is unreachable or was a moment ago
+	Source      string // address of the host that sent it; empty in a copy of this host
 }
 
 // Mirror is a copy of one table. It is safe for concurrent use.
@@ -155,7 +163,7 @@
 	}
 	m.mu.Unlock()
 	if len(changes) > 0 {
-		m.cfg.OnChange(changes, c.AfterOutage)
+		m.cfg.OnChange(Change{Rows: changes, Lapsed: c.AfterOutage, Source: c.Source})
 	}
 	return true
 }
@@ -266,7 +274,7 @@
 	}
 	m.mu.Unlock()
 	if len(changes) > 0 || after == 0 {
-		m.cfg.OnChange(changes, lapsed)
+		m.cfg.OnChange(Change{Rows: changes, Lapsed: lapsed})
 	}
 }
 
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -78,11 +78,11 @@
 	l := &fixture{feed: &fakeFeed{responses: responses, idle: make(chan struct{}, 1)}, clock: timer.NewManual()}
 	l.mirror = mirror.New(mirror.Config{
 		Feed: l.feed, Timer: l.clock, PollTimeout: time.Second, OnStoreState: func(error) {},
-		OnChange: func(rows []core.Record, lapsed bool) {
+		OnChange: func(c mirror.Change) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			for _, r := range rows {
-				l.events = append(l.events, event{r.Key, r.Removed, lapsed})
+			for _, r := range c.Rows {
+				l.events = append(l.events, event{r.Key, r.Removed, c.Lapsed})
 			}
 		},
 	})
@@ -221,7 +221,7 @@
 	l := newFixture(records(10, row("a", 3)), records(11, row("b", 11)))
 	follows := false
 	l.mirror = mirror.New(mirror.Config{
-		Feed: l.feed, Timer: l.clock, PollTimeout: time.Second, OnStoreState: func(error) {}, OnChange: func([]core.Record, bool) {},
+		Feed: l.feed, Timer: l.clock, PollTimeout: time.Second, OnStoreState: func(error) {}, OnChange: func(mirror.Change) {},
 		FollowsStore: func() bool { return follows },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -58,6 +58,10 @@
 // Lease counts one request at a server until Done.
 type Lease struct {
 	core.Instance
+	// RemovedFor is how long ago the server's entry was removed. It is 0 unless
+	// the entry has lapsed.
+	RemovedFor time.Duration
+
 	view   *Picker
 	server *server
 	start  time.Duration
@@ -161,7 +165,11 @@
 	}
 	queued := s.estimatedLoad(now) >= float64(s.Slots)
 	s.inFlight++
-	return &Lease{Instance: s.Instance, view: v, server: s, start: now, queued: queued}, nil
+	lease := &Lease{Instance: s.Instance, view: v, server: s, start: now, queued: queued}
+	if s.expiresAt > 0 {
+		lease.RemovedFor = now - s.removedAt
+	}
+	return lease, nil
 }
 
 // pick goes through the candidates in order. It returns the first one that is
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -77,6 +77,7 @@
 	core.Instance
 	listed         bool
 	expiresAt      time.Duration // when a lapsed entry is dropped; 0 if it has not lapsed
+	removedAt      time.Duration // when a lapsed entry was removed
 	hash           uint64
 	weight         float64 // share of the objects that the server should own
 	largeWeight    float64 // the same for objects with large answers
@@ -105,9 +106,19 @@
 	}
 }
 
-// Update adds or updates the entry of a server and reports whether that changed
-// anything. Entries older than the known one are ignored.
-func (v *Picker) Update(i core.Instance) bool {
+// UpdateResult says what Update did with an entry.
+type UpdateResult string
+
+// The values of UpdateResult.
+const (
+	EntryChanged   UpdateResult = "changed"   // the entry is new, differs, or had lapsed
+	EntryUnchanged UpdateResult = "unchanged" // the entry is the known one
+	EntryOlder     UpdateResult = "older"     // the entry is older than the known one and was ignored
+)
+
+// Update adds or updates the entry of a server. Entries older than the known
+// one are ignored.
+func (v *Picker) Update(i core.Instance) UpdateResult {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -117,7 +128,7 @@
 		v.servers[i.Name] = s
 	}
 	if s.listed && (i.StartedMs < s.StartedMs || i.StartedMs == s.StartedMs && i.Sequence < s.Sequence) {
-		return false // the entry is older than the known one
+		return EntryOlder
 	}
 	unchanged := s.listed && s.Instance == i && s.expiresAt == 0
 	restarted := s.listed && (s.StartedMs != i.StartedMs || s.Address != i.Address)
@@ -132,7 +143,10 @@
 		s.coldUntil = now + v.coldFor(i.Service)
 	}
 	v.servicesStale = true
-	return !unchanged
+	if unchanged {
+		return EntryUnchanged
+	}
+	return EntryChanged
 }
 
 func (v *Picker) coldFor(service core.ServiceID) time.Duration {
@@ -155,7 +169,7 @@
 	}
 	if lapsed && s.State == core.InstanceReady {
 		if s.expiresAt == 0 {
-			s.expiresAt = now + lapseGrace
+			s.removedAt, s.expiresAt = now, now+lapseGrace
 		}
 		return
 	}
@@ -170,21 +184,36 @@
 	v.servicesStale = true
 }
 
-// Tick drops the lapsed entries whose grace time is over and requests the
-// health checks that are due. Call it several times a second.
-func (v *Picker) Tick() {
+// Tick drops the lapsed entries whose grace time is over, returns their names,
+// and requests the health checks that are due. Call it several times a second.
+func (v *Picker) Tick() (dropped []core.ServerID) {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, s := range v.servers {
 		if s.listed && s.expiresAt > 0 && now >= s.expiresAt {
 			v.unlist(s)
+			dropped = append(dropped, s.Name)
 			continue
 		}
 		if s.listed && s.suspect && now >= s.nextCheck {
 			v.requestCheck(now, s)
 		}
 	}
+	return dropped
+}
+
+// NumLapsed returns the number of servers in use whose entries have lapsed.
+func (v *Picker) NumLapsed() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, s := range v.servers {
+		if s.listed && s.expiresAt > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // refreshServices rebuilds the list of ready servers of each service, and the
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -271,7 +271,7 @@
 	env.view.Update(leaving)
 	late := instance(1, "a")
 	late.Sequence = 8
-	require.False(t, env.view.Update(late))
+	require.Equal(t, picker.EntryOlder, env.view.Update(late))
 	_, err := env.view.Acquire(stickyAsk("x"))
 	require.Equal(t, codes.NoServer, codes.Of(err))
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -68,7 +68,11 @@
 	Code      codes.Code    // OK if a server's answer was passed on
 	Reason    string        // error text of a refusal or failure
 	WaitTime  time.Duration // from arrival until the last choice of a server
-	Duration  time.Duration // from arrival until the answer
+	// RemovedFor is the age of the removal of the last server's entry when the
+	// server was chosen, or 0 if the entry had not lapsed.
+	RemovedFor  time.Duration
+	ConnectTime time.Duration // from the last choice of a server until a connection was available
+	Duration    time.Duration // from arrival until the answer
 }
 
 // Proxy serves calls. It is safe for concurrent use.
@@ -194,7 +198,10 @@
 	for {
 		lease, err := r.cfg.Picker.Acquire(r.ask())
 		if err == nil || r.cfg.Timer.Now()+holdPollInterval > until {
-			r.record.WaitTime = r.cfg.Timer.Now() - r.call.Arrived
+			r.record.WaitTime, r.record.RemovedFor = r.cfg.Timer.Now()-r.call.Arrived, 0
+			if lease != nil {
+				r.record.RemovedFor = lease.RemovedFor
+			}
 			return lease, err
 		}
 		select {
@@ -269,6 +276,7 @@
 	defer cancel()
 	forward := core.ForwardInfo{Server: lease.Name, Workspace: r.record.Workspace, TimeLeft: remaining}
 	reply, meta, err := r.cfg.Backends.Exchange(ctx, lease.Instance, r.call, forward)
+	r.record.ConnectTime = meta.ConnectTime
 	var load *picker.Load
 	if meta.HasLoad {
 		load = &picker.Load{Running: meta.Running, Queued: meta.Waiting}
--- a/io/beacon/snapshot.go
+++ b/io/beacon/snapshot.go
@@ -136,7 +136,9 @@
 	if err := cbor.Unmarshal(raw, &w); err != nil {
 		return mirror.Snapshot{}, codes.Wrap(errors.WithStack(err), codes.PeerFrame, "beacon: cannot decode table copy")
 	}
-	c := mirror.Snapshot{After: w.After, Version: w.AsOf, Newest: w.Change, AfterOutage: w.Lapsed, Rows: make([]core.Record, 0, len(w.Rows))}
+	c := mirror.Snapshot{
+		After: w.After, Version: w.AsOf, Newest: w.Change, AfterOutage: w.Lapsed, Source: address, Rows: make([]core.Record, 0, len(w.Rows)),
+	}
 	for _, r := range w.Rows {
 		c.Rows = append(c.Rows, core.Record{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
 	}
--- a/io/beacon/snapshot_test.go
+++ b/io/beacon/snapshot_test.go
@@ -20,7 +20,7 @@
 func TestCopyFollowsTheTable(t *testing.T) {
 	m := mirror.New(mirror.Config{
 		Table: core.FeedServers, Timer: timer.NewManual(), FollowsStore: func() bool { return false },
-		OnChange: func([]core.Record, bool) {}, OnStoreState: func(error) {},
+		OnChange: func(mirror.Change) {}, OnStoreState: func(error) {},
 	})
 	server := httptest.NewServer(beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: m}))
 	defer server.Close()
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -83,12 +83,21 @@
 // Exchange implements core.Backends. If the reply has a Rest, the caller must
 // close it. If the context ends before the response, the connection is closed.
 func (p *Pool) Exchange(ctx context.Context, s core.Instance, c *core.Call, f core.ForwardInfo) (*core.Reply, core.ReplyMeta, error) {
+	start := p.cfg.Timer.Now()
 	header := p.cfg.Dialect.RequestHeader(c, f)
 	x := &exchange{requestID: c.RequestID, request: &http.Request{Method: c.Method}, written: make(chan struct{}), done: make(chan result, 1)}
 	cn, err := p.acquire(ctx, s, x)
+	connectTime := p.cfg.Timer.Now() - start
 	if err != nil {
-		return nil, core.ReplyMeta{}, &core.SendError{State: core.SendNotSent, Cause: err}
+		return nil, core.ReplyMeta{ConnectTime: connectTime}, &core.SendError{State: core.SendNotSent, Cause: err}
 	}
+	reply, meta, err := p.roundTrip(ctx, cn, x, c, header)
+	meta.ConnectTime = connectTime
+	return reply, meta, err
+}
+
+// roundTrip sends the request of an exchange and waits for the response.
+func (p *Pool) roundTrip(ctx context.Context, cn *conn, x *exchange, c *core.Call, header http.Header) (*core.Reply, core.ReplyMeta, error) {
 	if err := cn.writeRequest(ctx, x, c, header); err != nil {
 		return p.handleWriteError(cn, x, err)
 	}
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -34,6 +34,7 @@
 	refused  metric.Int64Counter
 	lookups  metric.Int64Counter
 	store    metric.Int64Counter
+	lapsed   metric.Int64Counter
 }
 
 // New returns metrics with a new Prometheus registry.
@@ -64,6 +65,7 @@
 		{&m.refused, "azurering_refused", "Requests refused, by result code."},
 		{&m.lookups, "azurering_lookups", "Look-ups answered."},
 		{&m.store, "azurering_store_operations", "Operations on the platform's store, by kind and result code."},
+		{&m.lapsed, "azurering_lapsed_requests", "Requests sent to servers whose entries had lapsed."},
 	}
 	for _, c := range counters {
 		if *c.counter, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.help)); err != nil {
@@ -91,6 +93,10 @@
 // CountLookup counts a successful lookup.
 func (m *Metrics) CountLookup() { m.lookups.Add(context.Background(), 1) }
 
+// CountLapsedUse counts a request that was sent to a server whose entry had
+// lapsed.
+func (m *Metrics) CountLapsedUse() { m.lapsed.Add(context.Background(), 1) }
+
 // CountStoreOperation counts an operation on the platform's store.
 func (m *Metrics) CountStoreOperation(operation string, code codes.Code) {
 	m.store.Add(context.Background(), 1, metric.WithAttributes(
