edge: reproduce requests to servers that left after an outage

Callers' requests were sent to a server for up to 2.4 s after its removal had been read, if an outage of the store had ended less than 2 s before. The tests play that in virtual time, on one host and along a chain of hosts.

--- /dev/null
+++ b/app/edge/leave_test.go
@@ -0,0 +1,264 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"azurering/core"
+	"azurering/core/codes"
+	"azurering/core/gossip"
+	"azurering/core/mirror"
+	"azurering/core/picker"
+	"azurering/core/quota"
+	"azurering/core/timer"
+)
+
+const (
+	// A request must not reach a server later than drainTimeout after the store
+	// has acknowledged that the server leaves. That binds a host once it has
+	// reached the store for contactTime.
+	drainTimeout = 2 * time.Second
+	contactTime  = 3 * time.Second
+	// connectTime is how long a request may take to its server after the choice.
+	connectTime = 400 * time.Millisecond
+)
+
+// storeCall is a call of a host to the store that waits for its reply.
+type storeCall struct {
+	after uint64 // 0 for a call to List
+	reply chan storeReply
+}
+
+type storeReply struct {
+	records core.Records
+	err     error
+}
+
+// steppedFeed hands the calls for the servers' table to the test.
+type steppedFeed struct{ calls chan storeCall }
+
+func (f *steppedFeed) call(ctx context.Context, after uint64) (core.Records, error) {
+	c := storeCall{after: after, reply: make(chan storeReply, 1)}
+	select {
+	case f.calls <- c:
+	case <-ctx.Done():
+		return core.Records{}, ctx.Err()
+	}
+	select {
+	case r := <-c.reply:
+		return r.records, r.err
+	case <-ctx.Done():
+		return core.Records{}, ctx.Err()
+	}
+}
+
+func (f *steppedFeed) List(ctx context.Context, _ core.FeedTable) (core.Records, error) {
+	return f.call(ctx, 0)
+}
+
+func (f *steppedFeed) Follow(ctx context.Context, _ core.FeedTable, after uint64, _ time.Duration) (core.Records, error) {
+	return f.call(ctx, after)
+}
+
+func (f *steppedFeed) Put(context.Context, core.FeedTable, string, []byte) error { return nil }
+
+// serverList is a host's list of servers in virtual time.
+type serverList struct {
+	t      *testing.T
+	clock  *timer.Manual
+	feed   *steppedFeed
+	mirror *mirror.Mirror
+	view   *picker.Picker
+}
+
+func newServerList(t *testing.T, clock *timer.Manual) *serverList {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := Config{Log: log, Decode: RowDecoders{Instance: func(id string, raw []byte) (core.Instance, error) {
+		return core.Instance{
+			Server: core.Server{Name: core.ServerID(id), Service: "s", Domain: "d", Address: "127.0.0.1:1", Slots: 100},
+			State:  core.InstanceReady, StartedMs: 1, Sequence: uint64(raw[0]),
+		}, nil
+	}}}
+	l := &serverList{t: t, clock: clock, feed: &steppedFeed{calls: make(chan storeCall)}}
+	members := gossip.New(gossip.Config{Timer: clock, Self: gossip.Heartbeat{Host: "own", Domain: "d"}})
+	w := newClusterState(cfg, clock, l.feed, quota.New(quota.Config{Timer: clock}), members)
+	l.view = picker.New(picker.Config{
+		Timer: clock, Host: "own", Domain: "d", Regions: map[core.DomainID]core.RegionID{"d": "r"},
+		DomainHosts:  func(core.DomainID) []core.HostID { return nil },
+		Service:      func(core.ServiceID) *core.ServiceConfig { return nil },
+		RequestCheck: func(core.Instance) {},
+	})
+	w.view, l.mirror = l.view, w.mirrors[core.FeedServers]
+	return l
+}
+
+// start lets the list follow the store and answers its first call.
+func (l *serverList) start(version uint64, servers ...string) {
+	l.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.mirror.Run(ctx)
+	}()
+	l.t.Cleanup(func() { cancel(); <-done })
+	rows := make([]core.Record, 0, len(servers))
+	for _, s := range servers {
+		rows = append(rows, entry(s, version))
+	}
+	l.next().reply <- storeReply{records: core.Records{Rows: rows, Version: version}}
+}
+
+// next returns the list's next call to the store. Time passes while the list
+// waits before it calls again.
+func (l *serverList) next() storeCall {
+	for {
+		select {
+		case c := <-l.feed.calls:
+			return c
+		case <-time.After(2 * time.Millisecond):
+			l.clock.Advance(10 * time.Millisecond)
+		}
+	}
+}
+
+// outage fails calls to the store, each after a time, and returns the time at
+// which the last one was made and the call that the store can answer again.
+func (l *serverList) outage(callTakes time.Duration) (lastFailed time.Duration, back storeCall) {
+	for range 4 {
+		c := l.next()
+		lastFailed = l.clock.Now()
+		l.clock.Advance(callTakes)
+		c.reply <- storeReply{err: codes.New(codes.StoreDown, "test")}
+	}
+	return lastFailed, l.next()
+}
+
+// uses reports whether a request may be sent to the only server of the list.
+func (l *serverList) uses() bool {
+	lease, err := l.view.Acquire(picker.Request{Service: "s", Object: "o", MaxLatency: time.Second})
+	if err == nil {
+		lease.Release(picker.OutcomeCancelled, nil)
+	}
+	return err == nil
+}
+
+// lastUse lets time pass and returns when the server was last used.
+func (l *serverList) lastUse(limit time.Duration) time.Duration {
+	last := time.Duration(0)
+	for until := l.clock.Now() + limit; l.clock.Now() < until; l.clock.Advance(10 * time.Millisecond) {
+		if l.uses() {
+			last = l.clock.Now()
+		}
+		if l.clock.Now()%(400*time.Millisecond) < 10*time.Millisecond {
+			l.view.Tick()
+		}
+	}
+	return last
+}
+
+func entry(server string, version uint64) core.Record {
+	return core.Record{Key: server, Value: []byte{1}, Version: version}
+}
+
+func removal(server string, version uint64) core.Record {
+	return core.Record{Key: server, Version: version, Removed: true}
+}
+
+// outages are the ways in which calls fail during an outage, by the time until
+// they do.
+var outages = map[string]time.Duration{"refused": 0, "silent": 1500 * time.Millisecond}
+
+// Guards against requests to a server that leaves shortly after an outage of
+// the store: its removal looks like an entry that expired during the outage,
+// and the time for which such an entry is kept must not exceed the time within
+// which requests to a leaving server must end.
+func TestRequestsEndInTimeAfterALeaveThatFollowsAnOutage(t *testing.T) {
+	for name, callTakes := range outages {
+		for _, delay := range []time.Duration{0, 10, 500, 1000, 1500, 1950} {
+			delay *= time.Millisecond
+			t.Run(fmt.Sprintf("%s, %s after it", name, delay), func(t *testing.T) {
+				l := newServerList(t, timer.NewManual())
+				l.start(1, "i-1")
+				lastFailed, back := l.outage(callTakes)
+				left := l.clock.Now() // the store acknowledges the leave
+				if delay > 0 {
+					back.reply <- storeReply{records: core.Records{Version: 1}}
+					back = l.next()
+					left += delay
+					l.clock.Advance(left - l.clock.Now())
+				}
+				back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+				l.next()
+				// The outage may have ended at any time after the last failed call.
+				bound := max(left+drainTimeout, lastFailed+contactTime) - connectTime
+				require.LessOrEqual(t, l.lastUse(5*time.Second), bound)
+			})
+		}
+	}
+}
+
+// Guards against a host that keeps a removed server longer because it learned
+// of the removal from another host.
+func TestOtherHostsDoNotProlongTheUseOfARemovedServer(t *testing.T) {
+	clock := timer.NewManual()
+	reader, second, third := newServerList(t, clock), newServerList(t, clock), newServerList(t, clock)
+	for _, l := range []*serverList{reader, second, third} {
+		l.start(1, "i-1")
+	}
+	lastFailed, back := reader.outage(0)
+	left := clock.Now()
+	back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+	reader.next()
+	clock.Advance(400 * time.Millisecond)
+	require.True(t, second.mirror.Merge(reader.mirror.Snapshot(1)))
+	clock.Advance(400 * time.Millisecond)
+	require.True(t, third.mirror.Merge(second.mirror.Snapshot(0)))
+	bound := max(left+drainTimeout, lastFailed+contactTime) - connectTime
+	require.LessOrEqual(t, third.lastUse(5*time.Second), bound)
+	require.False(t, second.uses())
+}
+
+// Guards against a host that takes a leave for an expired entry because the
+// host from which it learned of it has lost the store. A host that reads the
+// store without trouble has found that the server left.
+func TestALeaveStaysALeaveOnItsWayThroughAHostWithoutTheStore(t *testing.T) {
+	clock := timer.NewManual()
+	reader, cutOff, third := newServerList(t, clock), newServerList(t, clock), newServerList(t, clock)
+	for _, l := range []*serverList{reader, cutOff, third} {
+		l.start(1, "i-1")
+	}
+	cutOff.outage(0)
+	reader.next().reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+	reader.next()
+	require.True(t, cutOff.mirror.Merge(reader.mirror.Snapshot(1)))
+	require.False(t, cutOff.uses())
+	require.True(t, third.mirror.Merge(cutOff.mirror.Snapshot(1)))
+	require.False(t, third.uses())
+}
+
+// Guards against taking away servers that live, when the entries of all of them
+// expire during an outage and are renewed after it.
+func TestServersWithExpiredEntriesStayInUseUntilTheyRenewThem(t *testing.T) {
+	l := newServerList(t, timer.NewManual())
+	l.start(1, "i-1")
+	_, back := l.outage(0)
+	back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+	back = l.next()
+	for until := l.clock.Now() + 1400*time.Millisecond; l.clock.Now() < until; l.clock.Advance(10 * time.Millisecond) {
+		require.True(t, l.uses())
+	}
+	back.reply <- storeReply{records: core.Records{Rows: []core.Record{entry("i-1", 3)}, Version: 3}}
+	l.next()
+	l.clock.Advance(10 * time.Second)
+	l.view.Tick()
+	require.True(t, l.uses())
+}
