mirror, picker, edge, beacon: end the use of a removed server in time after an outage

Callers saw: requests were sent to servers up to 2.4 s after the store had acknowledged that they leave; an order sent then can be lost with the server.

Cause: an entry that expires during an outage of the store and an entry that its server withdrew look the same. A removal read within 2 s of an outage's end was taken for the first kind, and each host kept the server for another 2 s from when it learned of the removal, plus up to 0.4 s until the next tick. The mark was the state of the reading host, not of the removal, and copies passed it on, so that hosts without an outage started a time of their own. The bound counts from the store's acknowledgement.

Change: the host that reads a removal from the store decides until when its row may be renewed: at most 2 s after the end of the outage is noticed, the platform's contact time after the last failed call, and the platform's drain timeout after the removal, the last two less the time that a request takes to its server. An outage too short for entries to expire holds none. Copies carry the time that is left for each row, in a second message that hosts of earlier builds neither send nor read, and the picker checks it at each choice.

--- a/app/edge/leave_test.go
+++ b/app/edge/leave_test.go
@@ -77,11 +77,11 @@
 	view   *picker.Picker
 }
 
-func newServerList(t *testing.T, clock *timer.Manual) *serverList {
+func newServerList(t *testing.T, clock *timer.Manual, place core.HostSettings) *serverList {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	cfg := Config{Log: log, Decode: RowDecoders{Instance: func(id string, raw []byte) (core.Instance, error) {
+	cfg := Config{Log: log, Place: place, Decode: RowDecoders{Instance: func(id string, raw []byte) (core.Instance, error) {
 		return core.Instance{
 			Server: core.Server{Name: core.ServerID(id), Service: "s", Domain: "d", Address: "127.0.0.1:1", Slots: 100},
 			State:  core.InstanceReady, StartedMs: 1, Sequence: uint64(raw[0]),
@@ -117,6 +117,14 @@
 	l.next().reply <- storeReply{records: core.Records{Rows: rows, Version: version}}
 }
 
+// startedList returns a list that follows the store and holds one server.
+func startedList(t *testing.T, clock *timer.Manual) *serverList {
+	t.Helper()
+	l := newServerList(t, clock, core.HostSettings{})
+	l.start(1, "i-1")
+	return l
+}
+
 // next returns the list's next call to the store. Time passes while the list
 // waits before it calls again.
 func (l *serverList) next() storeCall {
@@ -186,8 +194,7 @@
 		for _, delay := range []time.Duration{0, 10, 500, 1000, 1500, 1950} {
 			delay *= time.Millisecond
 			t.Run(fmt.Sprintf("%s, %s after it", name, delay), func(t *testing.T) {
-				l := newServerList(t, timer.NewManual())
-				l.start(1, "i-1")
+				l := startedList(t, timer.NewManual())
 				lastFailed, back := l.outage(callTakes)
 				left := l.clock.Now() // the store acknowledges the leave
 				if delay > 0 {
@@ -210,10 +217,7 @@
 // of the removal from another host.
 func TestOtherHostsDoNotProlongTheUseOfARemovedServer(t *testing.T) {
 	clock := timer.NewManual()
-	reader, second, third := newServerList(t, clock), newServerList(t, clock), newServerList(t, clock)
-	for _, l := range []*serverList{reader, second, third} {
-		l.start(1, "i-1")
-	}
+	reader, second, third := startedList(t, clock), startedList(t, clock), startedList(t, clock)
 	lastFailed, back := reader.outage(0)
 	left := clock.Now()
 	back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
@@ -232,10 +236,7 @@
 // store without trouble has found that the server left.
 func TestALeaveStaysALeaveOnItsWayThroughAHostWithoutTheStore(t *testing.T) {
 	clock := timer.NewManual()
-	reader, cutOff, third := newServerList(t, clock), newServerList(t, clock), newServerList(t, clock)
-	for _, l := range []*serverList{reader, cutOff, third} {
-		l.start(1, "i-1")
-	}
+	reader, cutOff, third := startedList(t, clock), startedList(t, clock), startedList(t, clock)
 	cutOff.outage(0)
 	reader.next().reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
 	reader.next()
@@ -248,8 +249,7 @@
 // Guards against taking away servers that live, when the entries of all of them
 // expire during an outage and are renewed after it.
 func TestServersWithExpiredEntriesStayInUseUntilTheyRenewThem(t *testing.T) {
-	l := newServerList(t, timer.NewManual())
-	l.start(1, "i-1")
+	l := startedList(t, timer.NewManual())
 	_, back := l.outage(0)
 	back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
 	back = l.next()
@@ -262,3 +262,19 @@
 	l.view.Tick()
 	require.True(t, l.uses())
 }
+
+// Guards against keeping a server that left because a few calls to the store
+// failed: entries expire only after several missed heartbeats, so an outage
+// that is too short for that has let none expire.
+func TestAShortOutageKeepsNoRemovedServer(t *testing.T) {
+	for name, callTakes := range outages {
+		l := newServerList(t, timer.NewManual(), core.HostSettings{ServerHeartbeat: 1500 * time.Millisecond})
+		l.start(1, "i-1")
+		began := l.clock.Now()
+		_, back := l.outage(callTakes)
+		long := l.clock.Now()-began > 4*time.Second
+		back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+		l.next()
+		require.Equal(t, long, l.uses(), name)
+	}
+}
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -14,6 +14,7 @@
 	"azurering/core/picker"
 	"azurering/core/quota"
 	"azurering/core/routes"
+	"azurering/io/conns"
 )
 
 // longPollWait is how long one call waits for changes of a table. A
@@ -21,6 +22,39 @@
 // affected, changes are late by as much; the platform allows 5 s.
 const longPollWait = 3 * time.Second
 
+const (
+	// sendAllowance is the time within which a request reaches its server after
+	// the choice: a new connection, and the way there.
+	sendAllowance = conns.DialTimeout + 100*time.Millisecond
+	// defaultDrainTimeout and defaultContactTime apply if the platform does not
+	// state the bounds.
+	defaultDrainTimeout = 2 * time.Second
+	defaultContactTime  = 3 * time.Second
+	// minExpiryBeats is the fewest missed heartbeats of a server during an outage
+	// that let its entry expire. It expires after three, and up to one and a half
+	// may pass before the outage, since servers keep the interval only roughly.
+	minExpiryBeats = 1.5
+)
+
+// holdLimits returns how long the removed entry of a server may count as
+// expired. The server may have left for good, and then no request may reach it
+// later than the platform's drain timeout after its removal. That binds this
+// host again once it has reached the store for the platform's contact time.
+func holdLimits(place core.HostSettings) mirror.HoldLimits {
+	drain, contact := place.Bounds.DrainTimeout, place.Bounds.ContactTime
+	if drain <= 0 {
+		drain = defaultDrainTimeout
+	}
+	if contact <= 0 {
+		contact = defaultContactTime
+	}
+	return mirror.HoldLimits{
+		MinOutage: time.Duration(minExpiryBeats * float64(place.ServerHeartbeat)),
+		Removal:   max(drain-sendAllowance, 0),
+		Outage:    max(contact-sendAllowance, 0),
+	}
+}
+
 // RowDecoders decodes the rows that the platform writes. All fields are required.
 type RowDecoders struct {
 	// Rules decodes the configuration.
@@ -54,17 +88,18 @@
 func newClusterState(cfg Config, t core.Timer, feed core.Feed, limiter *quota.Limiter, members *gossip.Members) *clusterState {
 	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1)}
 	w.mirrors = map[core.FeedTable]*mirror.Mirror{
-		core.FeedOperator: w.newMirror(t, feed, members, core.FeedOperator, w.operatorChanged),
-		core.FeedServers:  w.newMirror(t, feed, members, core.FeedServers, w.serversChanged),
+		core.FeedOperator: w.newMirror(t, feed, members, core.FeedOperator, mirror.HoldLimits{}, w.operatorChanged),
+		core.FeedServers:  w.newMirror(t, feed, members, core.FeedServers, holdLimits(cfg.Place), w.serversChanged),
 	}
 	return w
 }
 
 func (w *clusterState) newMirror(
-	t core.Timer, feed core.Feed, members *gossip.Members, table core.FeedTable, changed func(mirror.Change),
+	t core.Timer, feed core.Feed, members *gossip.Members, table core.FeedTable, holds mirror.HoldLimits, changed func(mirror.Change),
 ) *mirror.Mirror {
 	return mirror.New(mirror.Config{
 		Table: table, Feed: feed, Timer: t, PollTimeout: longPollWait, FollowsStore: members.FollowsStore,
+		Holds: holds,
 		OnChange: func(c mirror.Change) {
 			changed(c)
 			if !members.FollowsStore() {
@@ -179,13 +214,14 @@
 	for _, r := range c.Rows {
 		log := w.log.WithFields(logrus.Fields{"event": "server", "server": r.Key, "version": r.Version, "source": sourceName(c)})
 		if r.Removed {
-			w.view.Remove(core.ServerID(r.Key), c.Lapsed)
-			log.WithField("lapsed", c.Lapsed).Info("edge: entry of a server was removed")
+			hold := c.Holds[r.Key]
+			w.view.Remove(core.ServerID(r.Key), hold)
+			log.WithField("hold", hold.Milliseconds()).Info("edge: entry of a server was removed")
 			continue
 		}
 		i, err := w.cfg.Decode.Instance(r.Key, r.Value)
 		if err != nil {
-			w.view.Remove(core.ServerID(r.Key), false)
+			w.view.Remove(core.ServerID(r.Key), 0)
 			log.WithError(err).Warn("edge: entry of a server is not usable; the server gets no requests")
 			continue
 		}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -22,10 +22,9 @@
 	// at the same time.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
-	// lapseWindow is how long after an outage a removal may still be due to
-	// it. Their owners write rows that expired during the outage again
-	// within about 2 s of its end.
-	lapseWindow = 2 * time.Second
+	// renewWindow is how long after an outage owners may still renew rows that
+	// expired during it.
+	renewWindow = 2 * time.Second
 	// idleInterval is the time between two checks whether this host is to
 	// follow the store.
 	idleInterval = 100 * time.Millisecond
@@ -53,25 +52,37 @@
 	// FollowsStore is not called before the first read has succeeded or while calls
 	// fail: the host reads the store itself then.
 	FollowsStore func() bool
+	// Holds bounds how long removed rows are held. The zero value means not at
+	// all.
+	Holds HoldLimits
+}
+
+// HoldLimits bounds how long a removed row is held because it may only have
+// expired during an outage of the store. Owners also remove rows for good, which
+// looks the same.
+type HoldLimits struct {
+	MinOutage time.Duration // the shortest outage during which rows expire
+	Removal   time.Duration // the longest time after this host has read the removal
+	Outage    time.Duration // the longest time after the end of the outage
 }
 
 // Change holds the rows that changed in one step.
 type Change struct {
 	Rows []core.Record
-	// Lapsed is set if the store was unreachable a moment ago, so that removed
-	// rows may only have expired.
-	Lapsed bool
+	// Holds has the removed rows that may only have expired during an outage
+	// of the store, and how much longer their owners may renew them.
+	Holds  map[string]time.Duration
 	Source string // address of the host whose copy was merged; empty for the store
 }
 
 // Snapshot is the content of a mirror, or the changes after version After.
 type Snapshot struct {
-	Rows        []core.Record
-	After       uint64 // 0 for the whole content
-	Version     uint64 // version of the store up to which the copy is complete
-	Newest      uint64 // version of the newest change
-	AfterOutage bool   // the store is unreachable or was a moment ago
-	Source      string // address of the host that sent it; empty in a copy of this host
+	Rows    []core.Record
+	After   uint64                   // 0 for the whole content
+	Version uint64                   // version of the store up to which the copy is complete
+	Newest  uint64                   // version of the newest change
+	Holds   map[string]time.Duration // as in Change
+	Source  string                   // address of the host that sent it; empty in a copy of this host
 }
 
 // Mirror is a copy of one table. It is safe for concurrent use.
@@ -84,16 +95,19 @@
 	historyStart uint64        // history holds all changes after this version
 	asOf         uint64
 	newest       uint64
-	failing      bool               // the last call failed
-	lastOutage   time.Duration      // time of the last failed call, or of the first success after it
-	cancel       context.CancelFunc // cancels the call in progress
+	failing      bool                     // the last call failed
+	lastSuccess  time.Duration            // end of the last call that succeeded
+	lastFailed   time.Duration            // start of the last call that failed
+	renewUntil   time.Duration            // until when owners may renew rows that expired during the last outage
+	holds        map[string]time.Duration // removed rows that may be renewed, and until when
+	cancel       context.CancelFunc       // cancels the call in progress
 
 	changedMu sync.Mutex // serializes calls of Changed; locked before mu
 }
 
 // New returns an empty mirror.
 func New(cfg Config) *Mirror {
-	return &Mirror{cfg: cfg, rows: make(map[string]core.Record)}
+	return &Mirror{cfg: cfg, rows: make(map[string]core.Record), holds: make(map[string]time.Duration)}
 }
 
 // Versions returns the version up to which the copy is complete, and the
@@ -118,7 +132,7 @@
 func (m *Mirror) Snapshot(after uint64) Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Snapshot{Version: m.asOf, Newest: m.newest, AfterOutage: m.failing || m.afterOutage()}
+	c := Snapshot{Version: m.asOf, Newest: m.newest, Holds: m.holdsLeft()}
 	if after > 0 && after >= m.historyStart {
 		c.After = after
 		for _, r := range m.history {
@@ -134,11 +148,6 @@
 	return c
 }
 
-// afterOutage reports whether a removal may still be due to an outage.
-func (m *Mirror) afterOutage() bool {
-	return m.lastOutage > 0 && m.cfg.Timer.Now() < m.lastOutage+lapseWindow
-}
-
 // Merge applies a newer copy from another host and reports whether it did. It
 // ignores a copy that is not newer, and changes that leave a gap after this
 // mirror's version. The mirror follows the store from the new version on.
@@ -158,12 +167,15 @@
 		changes = m.replace(got)
 	}
 	m.newest = max(m.newest, c.Newest)
+	now := m.cfg.Timer.Now()
+	m.recordHolds(changes, func(key string) time.Duration { return now + c.Holds[key] })
+	change := Change{Rows: changes, Holds: m.holdsLeft(), Source: c.Source}
 	if m.cancel != nil {
 		m.cancel()
 	}
 	m.mu.Unlock()
 	if len(changes) > 0 {
-		m.cfg.OnChange(Change{Rows: changes, Lapsed: c.AfterOutage, Source: c.Source})
+		m.cfg.OnChange(change)
 	}
 	return true
 }
@@ -214,6 +226,7 @@
 	}
 	m.cancel = cancel
 	m.mu.Unlock()
+	start := m.cfg.Timer.Now()
 	var got core.Records
 	var err error
 	if after == 0 {
@@ -222,7 +235,7 @@
 		got, err = m.cfg.Feed.Follow(call, m.cfg.Table, after, wait)
 	}
 	if err != nil {
-		return m.handleError(ctx, call, err)
+		return m.handleError(ctx, call, start, err)
 	}
 	m.applyResponse(after, got)
 	return nil
@@ -230,7 +243,7 @@
 
 // handleError records that a call failed, unless the call was canceled, which
 // says nothing about the store. It returns an error if Run is to back off.
-func (m *Mirror) handleError(ctx, call context.Context, err error) error {
+func (m *Mirror) handleError(ctx, call context.Context, start time.Duration, err error) error {
 	if ctx.Err() != nil || call.Err() != nil {
 		return nil
 	}
@@ -245,7 +258,7 @@
 	if !m.failing {
 		m.cfg.OnStoreState(err)
 	}
-	m.failing, m.lastOutage = true, m.cfg.Timer.Now()
+	m.failing, m.lastFailed = true, start
 	return err
 }
 
@@ -257,24 +270,27 @@
 	m.mu.Lock()
 	now := m.cfg.Timer.Now()
 	if m.failing {
-		m.failing, m.lastOutage = false, now
+		m.failing = false
+		m.endOutage(now)
 		m.cfg.OnStoreState(nil)
 	}
+	m.lastSuccess = now
 	if m.asOf != after {
 		// A copy was adopted meanwhile, so the response may be older.
 		m.mu.Unlock()
 		return
 	}
-	lapsed := m.afterOutage()
 	var changes []core.Record
 	if after == 0 {
 		changes = m.replace(got)
 	} else {
 		changes = m.merge(got)
 	}
+	m.recordHolds(changes, func(string) time.Duration { return m.holdUntil(now) })
+	change := Change{Rows: changes, Holds: m.holdsLeft()}
 	m.mu.Unlock()
 	if len(changes) > 0 || after == 0 {
-		m.cfg.OnChange(Change{Rows: changes, Lapsed: lapsed})
+		m.cfg.OnChange(change)
 	}
 }
 
@@ -301,7 +317,7 @@
 	return changes
 }
 
-// merge applies changes in their order and returns those that were new.
+// merge applies changes in their order and returns the last new one of each row.
 func (m *Mirror) merge(got core.Records) []core.Record {
 	var changes []core.Record
 	for _, r := range got.Rows {
@@ -316,6 +332,7 @@
 		changes = append(changes, r)
 		m.newest = max(m.newest, r.Version)
 	}
+	changes = lastOfEachKey(changes)
 	m.asOf = max(m.asOf, got.Version)
 	m.history = append(m.history, changes...)
 	if over := len(m.history) - maxHistory; over > 0 {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -63,7 +63,7 @@
 type event struct {
 	key     string
 	removed bool
-	lapsed  bool
+	hold    time.Duration
 }
 
 type fixture struct {
@@ -78,11 +78,12 @@
 	l := &fixture{feed: &fakeFeed{responses: responses, idle: make(chan struct{}, 1)}, clock: timer.NewManual()}
 	l.mirror = mirror.New(mirror.Config{
 		Feed: l.feed, Timer: l.clock, PollTimeout: time.Second, OnStoreState: func(error) {},
+		Holds: mirror.HoldLimits{Removal: 1500 * time.Millisecond, Outage: time.Minute},
 		OnChange: func(c mirror.Change) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			for _, r := range c.Rows {
-				l.events = append(l.events, event{r.Key, r.Removed, c.Lapsed})
+				l.events = append(l.events, event{r.Key, r.Removed, c.Holds[r.Key]})
 			}
 		},
 	})
@@ -149,13 +150,13 @@
 }
 
 // During an outage, rows expire because their owners cannot renew them.
-// Removals just after an outage must be marked, so that live servers are not
+// Removals just after an outage must be held, so that live servers are not
 // taken for gone.
-func TestRemovalAfterOutageIsLapsed(t *testing.T) {
+func TestRemovalAfterOutageIsHeld(t *testing.T) {
 	down := response{err: codes.New(codes.StoreDown, "down")}
 	l := newFixture(records(10, row("a", 3)), down, down, records(12, removal("a", 12)))
 	l.run(t)
-	require.Equal(t, event{key: "a", removed: true, lapsed: true}, l.events[1])
+	require.Equal(t, event{key: "a", removed: true, hold: 1500 * time.Millisecond}, l.events[1])
 }
 
 // An outage of the store must not drop any rows, and following must resume
--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -95,7 +95,7 @@
 	object := hashName(req.Object)
 	list = make([]candidate, 0, maxCandidates+1)
 	for _, s := range v.services[req.Service] {
-		if s.suspect || v.evacuated[s.Domain] || !v.allowed(s, req) {
+		if s.suspect || s.isExpired(now) || v.evacuated[s.Domain] || !v.allowed(s, req) {
 			continue
 		}
 		eligible = true
@@ -226,7 +226,7 @@
 	}
 	busy, slots := 0.0, 0.0
 	for _, s := range v.services[service] {
-		if s.suspect || v.evacuated[s.Domain] {
+		if s.suspect || s.isExpired(now) || v.evacuated[s.Domain] {
 			continue
 		}
 		busy += min(s.estimatedLoad(now), float64(s.Slots))
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -27,9 +27,6 @@
 	// checks of a server that cannot be reached.
 	minCheckDelay = 500 * time.Millisecond
 	maxCheckDelay = 2 * time.Second
-	// lapseGrace is how long an entry that lapsed during a store outage stays
-	// in use. Servers renew lapsed entries within about 2 s.
-	lapseGrace = 2 * time.Second
 	// coldMargin extends the cold time to cover the age of the entry.
 	coldMargin = 300 * time.Millisecond
 )
@@ -156,10 +153,10 @@
 	return coldMargin
 }
 
-// Remove handles the removal of a server's entry. An entry that lapsed during a
-// store outage stays in use for lapseGrace, because the server may only have
-// been unable to renew it.
-func (v *Picker) Remove(id core.ServerID, lapsed bool) {
+// Remove handles the removal of a server's entry. If hold is not 0, the entry
+// has lapsed: the server may only have been unable to renew it and stays in use
+// for that long.
+func (v *Picker) Remove(id core.ServerID, hold time.Duration) {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -167,9 +164,9 @@
 	if s == nil || !s.listed {
 		return
 	}
-	if lapsed && s.State == core.InstanceReady {
+	if hold > 0 && s.State == core.InstanceReady {
 		if s.expiresAt == 0 {
-			s.removedAt, s.expiresAt = now, now+lapseGrace
+			s.removedAt, s.expiresAt = now, now+hold
 		}
 		return
 	}
@@ -184,14 +181,18 @@
 	v.servicesStale = true
 }
 
-// Tick drops the lapsed entries whose grace time is over, returns their names,
+// isExpired reports whether the server's entry has lapsed and was not renewed in
+// time.
+func (s *server) isExpired(now time.Duration) bool { return s.expiresAt > 0 && now >= s.expiresAt }
+
+// Tick drops the lapsed entries that were not renewed in time, returns their names,
 // and requests the health checks that are due. Call it several times a second.
 func (v *Picker) Tick() (dropped []core.ServerID) {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, s := range v.servers {
-		if s.listed && s.expiresAt > 0 && now >= s.expiresAt {
+		if s.listed && s.isExpired(now) {
 			v.unlist(s)
 			dropped = append(dropped, s.Name)
 			continue
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -89,7 +89,7 @@
 	for n := range 400 {
 		before[fmt.Sprint(n)] = owner(fmt.Sprint(n))
 	}
-	env.view.Remove("i-7", false)
+	env.view.Remove("i-7", 0)
 	for object, was := range before {
 		if was != "i-7" {
 			require.Equal(t, was, owner(object))
@@ -281,14 +281,14 @@
 func TestLapsedEntryIsHeld(t *testing.T) {
 	env := newTestEnv("h1", "a")
 	env.view.Update(instance(1, "a"))
-	env.view.Remove("i-1", true)
+	env.view.Remove("i-1", 2*time.Second)
 	env.view.Tick()
 	require.Positive(t, env.countAccepted(time.Second))
 	env.clock.Advance(time.Second)
 	env.view.Tick()
 	require.Zero(t, env.countAccepted(100*time.Millisecond))
 	env.view.Update(instance(2, "a"))
-	env.view.Remove("i-2", false)
+	env.view.Remove("i-2", 0)
 	require.Zero(t, env.countAccepted(100*time.Millisecond))
 }
 
--- a/core/rules.go
+++ b/core/rules.go
@@ -92,6 +92,8 @@
 // PlatformLimits holds the limits that the platform sets for hosts.
 type PlatformLimits struct {
 	ShutdownGrace time.Duration // between SIGTERM and SIGKILL
+	DrainTimeout  time.Duration // requests may reach a server for so long after its leave was acknowledged
+	ContactTime   time.Duration // a host is bound again once it has been undisturbed for so long
 	MaxLookupTTL  time.Duration // maximum lifetime (TTL) of a look-up answer
 	RetryRatio    float64       // retries per request, for all hosts together
 	MinRetries    float64       // additional retries in each RetryWindow
@@ -115,5 +117,8 @@
 	MetricsListen string // listen address for metrics; empty for none
 	StoreAddress  string // address of the platform's store
 	MemoryBytes   int64  // memory limit in bytes
-	Bounds        PlatformLimits
+	// ServerHeartbeat is the interval at which backend servers write their
+	// entries, or 0 if the platform does not state it.
+	ServerHeartbeat time.Duration
+	Bounds          PlatformLimits
 }
--- a/io/beacon/snapshot.go
+++ b/io/beacon/snapshot.go
@@ -36,7 +36,10 @@
 	Removed bool
 }
 
-// snapshotWire is the encoded form of a mirror.Snapshot.
+// snapshotWire is the encoded form of a mirror.Snapshot without its holds. If
+// Lapsed is set, a holdsWire follows in a message of its own. Hosts of earlier
+// builds neither send nor read that message: they take all removals in a copy
+// with Lapsed for expired entries.
 type snapshotWire struct {
 	_      struct{} `cbor:",toarray"`
 	Rows   []recordWire
@@ -46,6 +49,9 @@
 	Lapsed bool
 }
 
+// holdsWire is the encoded form of the holds of a snapshot, in milliseconds.
+type holdsWire map[string]int64
+
 // copyCache holds the encoded form of the last copy of a table that was sent.
 // When all hosts of a domain start together, they request the same copy.
 // Encoding it for each of them took most of a host's memory with 50 hosts in
@@ -54,18 +60,18 @@
 	mu                  sync.Mutex
 	after, asOf, change uint64
 	lapsed              bool
-	raw                 []byte
+	raw                 []byte // without the holds, which change with time
 }
 
 func (e *copyCache) encode(c mirror.Snapshot) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.raw != nil && e.after == c.After && e.asOf == c.Version && e.change == c.Newest && e.lapsed == c.AfterOutage {
+	if e.raw != nil && e.after == c.After && e.asOf == c.Version && e.change == c.Newest && e.lapsed == (len(c.Holds) > 0) {
 		return e.raw, nil
 	}
 	raw, err := encodeSnapshot(c)
 	if err == nil {
-		e.after, e.asOf, e.change, e.lapsed, e.raw = c.After, c.Version, c.Newest, c.AfterOutage, raw
+		e.after, e.asOf, e.change, e.lapsed, e.raw = c.After, c.Version, c.Newest, len(c.Holds) > 0, raw
 	}
 	return raw, err
 }
@@ -90,21 +96,61 @@
 		}
 		defer func() { _ = socket.CloseNow() }()
 		after, _ := strconv.ParseUint(c.Query("after"), 10, 64) // 0, also if missing or malformed, means the whole table
-		raw, err := caches[core.FeedTable(c.Param("table"))].encode(m.Snapshot(after))
+		snapshot := m.Snapshot(after)
+		raw, err := caches[core.FeedTable(c.Param("table"))].encode(snapshot)
 		if err != nil {
 			return
 		}
 		ctx, cancel := context.WithTimeout(c.Request.Context(), copyTimeout)
 		defer cancel()
-		if socket.Write(ctx, websocket.MessageBinary, raw) == nil {
-			_ = socket.Close(websocket.StatusNormalClosure, "")
+		// The requester notices an incomplete copy.
+		if socket.Write(ctx, websocket.MessageBinary, raw) != nil || writeHolds(ctx, socket, snapshot.Holds) != nil {
+			return
 		}
+		_ = socket.Close(websocket.StatusNormalClosure, "")
 	})
 	return g
 }
 
+// writeHolds sends the holds of a snapshot, if there are any.
+func writeHolds(ctx context.Context, socket *websocket.Conn, holds map[string]time.Duration) error {
+	if len(holds) == 0 {
+		return nil
+	}
+	w := make(holdsWire, len(holds))
+	for key, left := range holds {
+		w[key] = left.Milliseconds()
+	}
+	raw, err := cbor.Marshal(w)
+	if err != nil {
+		return codes.Wrap(err, codes.Internal, "beacon: cannot encode the holds of a table copy")
+	}
+	return errors.Wrap(socket.Write(ctx, websocket.MessageBinary, raw), "beacon: cannot send the holds of a table copy")
+}
+
+// readHolds reads the holds that follow a snapshot. A host of an earlier build
+// closes the connection instead and sends none.
+func readHolds(ctx context.Context, socket *websocket.Conn) (map[string]time.Duration, error) {
+	_, raw, err := socket.Read(ctx)
+	if websocket.CloseStatus(err) == websocket.StatusNormalClosure {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, codes.Wrap(err, codes.PeerDown, "beacon: cannot read the holds of a table copy")
+	}
+	var w holdsWire
+	if err := cbor.Unmarshal(raw, &w); err != nil {
+		return nil, codes.Wrap(errors.WithStack(err), codes.PeerFrame, "beacon: cannot decode the holds of a table copy")
+	}
+	holds := make(map[string]time.Duration, len(w))
+	for key, left := range w {
+		holds[key] = time.Duration(left) * time.Millisecond
+	}
+	return holds, nil
+}
+
 func encodeSnapshot(c mirror.Snapshot) ([]byte, error) {
-	w := snapshotWire{After: c.After, AsOf: c.Version, Change: c.Newest, Lapsed: c.AfterOutage, Rows: make([]recordWire, 0, len(c.Rows))}
+	w := snapshotWire{After: c.After, AsOf: c.Version, Change: c.Newest, Lapsed: len(c.Holds) > 0, Rows: make([]recordWire, 0, len(c.Rows))}
 	for _, r := range c.Rows {
 		w.Rows = append(w.Rows, recordWire{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
 	}
@@ -137,7 +183,12 @@
 		return mirror.Snapshot{}, codes.Wrap(errors.WithStack(err), codes.PeerFrame, "beacon: cannot decode table copy")
 	}
 	c := mirror.Snapshot{
-		After: w.After, Version: w.AsOf, Newest: w.Change, AfterOutage: w.Lapsed, Source: address, Rows: make([]core.Record, 0, len(w.Rows)),
+		After: w.After, Version: w.AsOf, Newest: w.Change, Source: address, Rows: make([]core.Record, 0, len(w.Rows)),
+	}
+	if w.Lapsed {
+		if c.Holds, err = readHolds(ctx, socket); err != nil {
+			return mirror.Snapshot{}, err
+		}
 	}
 	for _, r := range w.Rows {
 		c.Rows = append(c.Rows, core.Record{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -23,10 +23,10 @@
 )
 
 const (
-	// dialTimeout covers a round trip of 24 ms between regions with a busy accept
+	// DialTimeout bounds the opening of a connection. It covers a round trip of 24 ms between regions with a busy accept
 	// queue. It does not cover a lost SYN: TCP retransmits it only after a second,
 	// and another server can respond sooner.
-	dialTimeout = 400 * time.Millisecond
+	DialTimeout = 400 * time.Millisecond
 	// unackedTimeout is the TCP_USER_TIMEOUT of connections. It allows for a few
 	// retransmissions, which begin after 200 ms.
 	unackedTimeout = 1200 * time.Millisecond
@@ -218,7 +218,7 @@
 			return c, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	raw, err := p.cfg.Dial(ctx, "tcp", s.Address)
 	if err != nil {
