mirror, edge: pass on removals that a listing found

Cause: after the store has dropped its history, a host lists the table again and finds out which rows are gone. The version that hosts report to one another stayed that of the newest row, so hosts that do not read the store themselves did not fetch the removal and used the server until the next change of the table.

Change: a removal found by listing raises the reported version to that of the listing. A host compares it with the version up to which its copy is complete, in place of that of its newest row, so that it does not fetch again what it has.

Evidence: TestRemovalFoundByListingIsReported failed before: "4" is not greater than "10".

--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -125,6 +125,18 @@
 	return forwardTo
 }
 
+// missing returns the address of a host that has a change of a table that is
+// missing in this host's copy, or "" if none has, and the version up to which
+// the copy is complete.
+func (h *host) missing(table core.FeedTable) (from string, asOf uint64) {
+	asOf, _ = h.state.mirrors[table].Versions()
+	newest, address := h.members.NewestVersion(table)
+	if newest <= asOf {
+		return "", asOf
+	}
+	return address, asOf
+}
+
 // runCatchUp fetches the changes of a table that other hosts have. Hosts that
 // do not follow the store learn all changes this way; for the others it
 // covers calls to the store that got no answer.
@@ -136,21 +148,19 @@
 		case <-h.catchUpWake[table]:
 		}
 		m := h.state.mirrors[table]
-		_, own := m.Versions()
-		if newest, _ := h.members.NewestVersion(table); newest <= own {
+		if from, _ := h.missing(table); from == "" {
 			continue
 		}
 		if h.members.FollowsStore() {
 			// The store's own answer is on its way.
 			<-h.timer.After(catchUpDelay)
 		}
-		asOf, own := m.Versions()
-		newest, from := h.members.NewestVersion(table)
-		if newest <= own || asOf == 0 && h.members.FollowsStore() && !m.Failing() {
+		from, asOf := h.missing(table)
+		if from == "" || asOf == 0 && h.members.FollowsStore() && !m.Failing() {
 			continue
 		}
 		c, err := beacon.FetchSnapshot(ctx, from, h.cfg.Place.PeerPort, table, asOf)
-		log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": table, "own": own, "newest": newest, "from": from})
+		log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": table, "own": asOf, "newest": c.Newest, "from": from})
 		if err != nil {
 			log.WithError(err).Warn("edge: fetching changes from another host failed")
 			<-h.timer.After(catchUpDelay)
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -111,7 +111,8 @@
 }
 
 // Versions returns the version up to which the copy is complete, and the
-// version of its newest change. Both are 0 before the first read. asOf is also
+// version of its newest change, or a later one if only a listing showed the
+// change. Both are 0 before the first read. asOf is also
 // 0 while the table must be listed again because the store dropped its
 // history.
 func (m *Mirror) Versions() (asOf, change uint64) {
@@ -310,6 +311,7 @@
 		if !seen[key] {
 			delete(m.rows, key)
 			changes = append(changes, core.Record{Key: key, Version: got.Version, Removed: true})
+			m.newest = max(m.newest, got.Version) // the version of the removal is not known
 		}
 	}
 	m.asOf = got.Version
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -149,6 +149,22 @@
 	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "c"}, {key: "b", removed: true}}, l.events)
 }
 
+// Hosts that do not follow the store fetch changes when another host reports a
+// newer one than they have. A removal that was only found by listing the table
+// again must count as a change, or they would use the removed server until the
+// next change.
+func TestRemovalFoundByListingIsReported(t *testing.T) {
+	dropped := response{err: codes.New(codes.StoreAbsent, "gone")}
+	l := newFixture(records(10, row("a", 3), row("b", 4)), dropped, records(30, row("a", 3)))
+	l.run(t)
+	_, change := l.mirror.Versions()
+	require.Greater(t, change, uint64(10))
+	other := newFixture(records(10, row("a", 3), row("b", 4)))
+	other.run(t)
+	require.True(t, other.mirror.Merge(l.mirror.Snapshot(10)))
+	require.Equal(t, event{key: "b", removed: true}, other.events[2])
+}
+
 // During an outage, rows expire because their owners cannot renew them.
 // Removals just after an outage must be held, so that live servers are not
 // taken for gone.
