edge, gossip: fetch changes from another host when one does not answer

Callers would see: requests to a server that left, when the host that reported the leave freezes before this host has fetched it.

Cause: a host that does not read the store fetches changes from the host that reports the newest one, with a timeout of 1.5 s, waits 250 ms and asks the same host again for as long as it counts as alive. With the way of a request to its server added, little is left of the 2 s in which a leave must be known everywhere; with a second frozen host nothing is.

Evidence: TestFetchTurnsToAnotherHostWhenOneIsSilent failed before ("Condition never satisfied" after 20 s).

--- a/app/edge/catchup_test.go
+++ b/app/edge/catchup_test.go
@@ -1,14 +1,22 @@
 package edge
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"azurering/core"
 	"azurering/core/gossip"
 	"azurering/core/mirror"
 	"azurering/core/timer"
+	"azurering/io/beacon"
 )
 
 // follower returns a host that knows one other host, the first of its domain,
@@ -35,3 +43,40 @@
 		require.EqualValues(t, 20, asOf)
 	}
 }
+
+// Guards against waiting for a host that has frozen after it reported a change:
+// its connections are accepted and never answered, and it counts as alive until
+// its heartbeats have been missing for some time. A leave must reach this host
+// from another one.
+func TestFetchTurnsToAnotherHostWhenOneIsSilent(t *testing.T) {
+	l := startedList(t, timer.NewManual())
+	l.next()
+	source := newServerList(t, l.clock, core.HostSettings{})
+	require.True(t, source.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-2", 5)}, Version: 5, Newest: 5}))
+	silent, err := net.Listen("tcp", "127.9.1.1:0")
+	require.NoError(t, err)
+	defer func() { _ = silent.Close() }()
+	_, port, err := net.SplitHostPort(silent.Addr().String())
+	require.NoError(t, err)
+	good, err := net.Listen("tcp", net.JoinHostPort("127.9.1.2", port))
+	require.NoError(t, err)
+	server := &http.Server{Handler: beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: source.mirror})}
+	go func() { _ = server.Serve(good) }()
+	defer func() { _ = server.Close() }()
+
+	h := follower(t, l, 5)
+	h.timer, h.cfg.Log = l.clock, logrus.New()
+	h.cfg.Place.PeerPort, err = strconv.Atoi(port)
+	require.NoError(t, err)
+	h.catchUpWake = map[core.FeedTable]chan struct{}{core.FeedServers: make(chan struct{}, 1)}
+	for i, address := range []string{"127.9.1.1", "127.9.1.2"} {
+		h.members.Receive(gossip.Digest{Domain: "d", Heartbeats: []gossip.Heartbeat{{
+			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "d", Address: address, Seq: 1, Versions: map[core.FeedTable]uint64{core.FeedServers: 6},
+		}}})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go h.runCatchUp(ctx, core.FeedServers)
+	h.catchUpWake[core.FeedServers] <- struct{}{}
+	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf == 5 }, 20*time.Second, 5*time.Millisecond)
+}
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -105,10 +105,7 @@
 			if !members.FollowsStore() {
 				return // other hosts learned of it no later than this one
 			}
-			select {
-			case w.changed <- struct{}{}:
-			default: // the pending heartbeat includes this change
-			}
+			wake(w.changed) // a heartbeat that is pending includes this change
 		},
 		OnStoreState: func(err error) {
 			log := w.log.WithFields(logrus.Fields{"event": "store", "table": table})
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -453,6 +453,19 @@
 	}
 }
 
+// ClearVersions records that a table could not be fetched from the host with an
+// address. NewestVersion does not return the host again until its next
+// heartbeat.
+func (v *Members) ClearVersions(address string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.peers {
+		if p.Address == address {
+			p.Versions = nil
+		}
+	}
+}
+
 // Totals sums up the reports of the other hosts.
 type Totals struct {
 	Demand   map[core.WorkspaceID]float64            // requests per second
