gossip: replace a follower of the store after one second of silence

Callers would see: requests to a server that left, sent by hosts that depend on a host that froze.

Cause: the next host of a domain followed the store only once the follower counted as dead, 1.6 s after its last heartbeat. A leave acknowledged meanwhile was known to the other hosts of the domain 1.75 s or later after it, unless digests of another domain told them, and a request takes up to 0.5 s to its server. The timeout counted from the heartbeat, the bound from the store's acknowledgement.

Change: following the store passes to the next host after 1 s of silence. Counting as dead is unchanged.

Evidence: TestFollowerThatFallsSilentIsReplacedInTime failed before ("Should be true" 1.2 s after the last heartbeat).

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -23,6 +23,11 @@
 	// localTimeout is the time without a heartbeat after which a host of this
 	// host's domain counts as dead: four heartbeat intervals.
 	localTimeout = 1600 * time.Millisecond
+	// followTimeout is the time without a heartbeat after which another host of
+	// the domain follows the store: two and a half heartbeat intervals. A needless
+	// change of roles costs one call; a late one leaves the whole domain without
+	// news.
+	followTimeout = time.Second
 	// remoteTimeout is the same for hosts of other domains. It is longer, to
 	// cover the time until a new leader takes over there.
 	remoteTimeout = 3 * time.Second
@@ -338,14 +343,14 @@
 }
 
 // FollowsStore reports whether this host is to follow the store's tables for its
-// domain. That holds if no live host of the domain with a lower name can read
-// the store.
+// domain. That holds if no host of the domain with a lower name, heard of
+// within followTimeout, can read the store.
 func (v *Members) FollowsStore() bool {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, p := range v.localPeers(now) {
-		if p.Host < v.self.Host && !p.StoreDown {
+		if p.Host < v.self.Host && !p.StoreDown && now < p.lastSeen+followTimeout {
 			return false
 		}
 	}
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -254,6 +254,23 @@
 	require.Equal(t, []string{"a0", "a1", "b1"}, followers(f))
 }
 
+// Guards against late news of a leaving server when the host that follows the
+// store freezes. The next one must take over in time for every host of the
+// domain to know of a leave 1.5 s after it, so that no request reaches the
+// server after 2 s: 0.3 s are left to read the store and to pass the change on.
+func TestFollowerThatFallsSilentIsReplacedInTime(t *testing.T) {
+	clock := timer.NewManual()
+	v := view(clock)
+	receive(v, beat("a", 1, 1))
+	require.False(t, v.FollowsStore())
+	clock.Advance(900 * time.Millisecond)
+	require.False(t, v.FollowsStore(), "two lost heartbeats")
+	clock.Advance(300 * time.Millisecond)
+	require.True(t, v.FollowsStore())
+	receive(v, beat("a", 1, 4))
+	require.False(t, v.FollowsStore())
+}
+
 // A change must be fetched from a host of the own domain if one has it, or
 // traffic between domains would grow with the number of hosts.
 func TestNewestChangeIsFetchedFromOwnDomain(t *testing.T) {
