mirror: skip changes of another host that are known already

Cause: changes fetched from another host from version 15 on were applied whole although this host had read the store up to version 20 meanwhile. A removal was applied again with the other host's hold.

Change: rows up to the version of the own copy are skipped.

Evidence: TestKnownChangesAreNotAppliedAgain failed before (the removal of b was reported a second time).

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -323,7 +323,7 @@
 func (m *Mirror) merge(got core.Records) []core.Record {
 	var changes []core.Record
 	for _, r := range got.Rows {
-		if old, ok := m.rows[r.Key]; ok && old.Version >= r.Version {
+		if old, ok := m.rows[r.Key]; r.Version <= m.asOf || ok && old.Version >= r.Version {
 			continue
 		}
 		if r.Removed {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -232,6 +232,19 @@
 	require.False(t, empty.mirror.Merge(changes), "changes without the content before them")
 }
 
+// Changes of another host must not be applied again if this host has read some
+// of them itself in the meantime. Otherwise it would take over how long the other
+// host holds a removed row.
+func TestKnownChangesAreNotAppliedAgain(t *testing.T) {
+	l := newFixture(records(10, row("a", 3)), records(20, row("b", 16), removal("b", 18), row("a", 20)))
+	l.run(t)
+	require.Equal(t, []event{{key: "a"}, {key: "b", removed: true}, {key: "a"}}, l.events)
+	late := mirror.Snapshot{Rows: []core.Record{row("b", 16), removal("b", 18), row("c", 25)}, After: 15, Version: 25, Newest: 25}
+	require.True(t, l.mirror.Merge(late))
+	require.Equal(t, event{key: "c"}, l.events[3])
+	require.Len(t, l.events, 4)
+}
+
 // A host that does not follow the store must read it only once. Otherwise the
 // load on the store would grow with the number of hosts.
 func TestReadsOnceUnlessItFollows(t *testing.T) {
