picker: let a leave count that an earlier start reports

Callers would see: requests to a server that left, if its clock was set back before its last start.

Cause: entries with an earlier start than the known one were ignored as delayed, also when they said that the server leaves.

Change: such an entry is still ignored if it says ready, and counts if it says draining. If it was a delayed report, the server's next one corrects it.

Evidence: TestLeaveOfAnEarlierStartCounts failed before ("changed" expected, "older" got).

--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -113,8 +113,8 @@
 	EntryOlder     UpdateResult = "older"     // the entry is older than the known one and was ignored
 )
 
-// Update adds or updates the entry of a server. Entries older than the known
-// one are ignored.
+// Update adds or updates the entry of a server. It ignores an entry that is older
+// than the known one, unless it says that the server leaves.
 func (v *Picker) Update(i core.Instance) UpdateResult {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
@@ -124,7 +124,7 @@
 		s = &server{hash: hashName(string(i.Name))}
 		v.servers[i.Name] = s
 	}
-	if s.listed && (i.StartedMs < s.StartedMs || i.StartedMs == s.StartedMs && i.Sequence < s.Sequence) {
+	if s.listed && s.isOlder(i) {
 		return EntryOlder
 	}
 	unchanged := s.listed && s.Instance == i && s.expiresAt == 0
@@ -146,6 +146,17 @@
 	return EntryChanged
 }
 
+// isOlder reports whether an entry was written before the known one. Clocks can be
+// set back between two starts of a server, so an earlier start does not show that
+// for sure. The entry counts then if the server leaves: taking a server that
+// stays for one that leaves lasts only until its next report.
+func (s *server) isOlder(i core.Instance) bool {
+	if i.StartedMs == s.StartedMs {
+		return i.Sequence < s.Sequence
+	}
+	return i.StartedMs < s.StartedMs && i.State != core.InstanceDraining
+}
+
 func (v *Picker) coldFor(service core.ServiceID) time.Duration {
 	if b := v.cfg.Service(service); b != nil {
 		return b.ColdDuration + coldMargin
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -276,6 +276,21 @@
 	require.Equal(t, codes.NoServer, codes.Of(err))
 }
 
+// Guards against ignoring that a server leaves because its clock was set back
+// before it started again: its start then seems to be earlier than the known one.
+// A report that it is ready must still not bring back a server of an earlier
+// start that has left.
+func TestLeaveOfAnEarlierStartCounts(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.view.Update(instance(1, "a"))
+	again := instance(1, "a")
+	again.StartedMs, again.Sequence = 500, 3
+	require.Equal(t, picker.EntryOlder, env.view.Update(again))
+	again.State, again.Sequence = core.InstanceDraining, 4
+	require.Equal(t, picker.EntryChanged, env.view.Update(again))
+	require.Zero(t, env.countAccepted(100*time.Millisecond))
+}
+
 // Guards against dropping servers whose entries lapsed during a store outage,
 // and against keeping entries that were withdrawn.
 func TestLapsedEntryIsHeld(t *testing.T) {
