mirror: find the end of an outage more closely

Callers would see: servers that live are left out for a second after an outage in which the store was silent.

Cause: the end of an outage lies between the last call that failed and the first that succeeded. A call to a silent store lasted 1.5 s, and a host that began to follow the store waited up to 4.5 s, so that the time for which expired entries are held was cut to 0 to 0.6 s from the first success.

Change: a call in an outage, or the first one of a host that begins to follow the store, asks for an answer at once and ends after 0.7 s, until the outage has lasted 10 s. A call that never got its answer shows the store to be out until 1.5 s before it ended.

Evidence: TestServersWithExpiredEntriesStayInUseUntilTheyRenewThem, now also with silent calls, failed before ("Should be true", silent).

--- a/core/mirror/hold.go
+++ b/core/mirror/hold.go
@@ -7,14 +7,14 @@
 )
 
 // endOutage sets until when owners may renew the rows that expired during the
-// outage that was found to have ended now. It may have ended at any time after
-// the last call that failed was made.
+// outage that was found to have ended now. It may have ended at any time since
+// lastOut.
 func (m *Mirror) endOutage(now time.Duration) {
 	m.renewUntil = 0
 	if now-m.lastSuccess < m.cfg.Holds.MinOutage {
 		return
 	}
-	m.renewUntil = min(now+renewWindow, m.lastFailed+m.cfg.Holds.Outage)
+	m.renewUntil = min(now+renewWindow, m.lastOut+m.cfg.Holds.Outage)
 }
 
 // holdUntil returns until when a row may be renewed whose removal the store
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -25,6 +25,15 @@
 	// renewWindow is how long after an outage owners may still renew rows that
 	// expired during it.
 	renewWindow = 2 * time.Second
+	// answerTimeout is how long after an answer was due the Feed waits for it.
+	answerTimeout = 1500 * time.Millisecond
+	// probeTimeout bounds a call that the store is to answer at once. A short one
+	// shows more closely when an outage ended. The store answers in up to 240 ms
+	// when it is slow.
+	probeTimeout = 700 * time.Millisecond
+	// probePeriod is the time without an answer after which calls get the Feed's
+	// timeout again, in case the store has become slower than probeTimeout.
+	probePeriod = 10 * time.Second
 	// idleInterval is the time between two checks whether this host is to
 	// follow the store.
 	idleInterval = 100 * time.Millisecond
@@ -97,7 +106,8 @@
 	newest       uint64
 	failing      bool                     // the last call failed
 	lastSuccess  time.Duration            // end of the last call that succeeded
-	lastFailed   time.Duration            // start of the last call that failed
+	failingSince time.Duration            // end of the first call that failed
+	lastOut      time.Duration            // latest time at which the store is known to have been unreachable
 	renewUntil   time.Duration            // until when owners may renew rows that expired during the last outage
 	holds        map[string]time.Duration // removed rows that may be renewed, and until when
 	cancel       context.CancelFunc       // cancels the call in progress
@@ -221,19 +231,24 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.mu.Lock()
-	after, wait := m.asOf, m.cfg.PollTimeout
-	if m.failing {
-		wait = 0 // detect the end of an outage at once
+	start := m.cfg.Timer.Now()
+	after, wait, request := m.asOf, m.cfg.PollTimeout, call
+	if m.failing || start > m.lastSuccess+m.cfg.PollTimeout+answerTimeout {
+		// Detect the end of an outage at once, and an outage when this host begins
+		// to follow the store.
+		wait = 0
+	}
+	if wait == 0 && (!m.failing || start < m.failingSince+probePeriod) {
+		request = m.cancelAfter(call, probeTimeout)
 	}
 	m.cancel = cancel
 	m.mu.Unlock()
-	start := m.cfg.Timer.Now()
 	var got core.Records
 	var err error
 	if after == 0 {
 		got, err = m.cfg.Feed.List(call, m.cfg.Table)
 	} else {
-		got, err = m.cfg.Feed.Follow(call, m.cfg.Table, after, wait)
+		got, err = m.cfg.Feed.Follow(request, m.cfg.Table, after, wait)
 	}
 	if err != nil {
 		return m.handleError(ctx, call, start, err)
@@ -242,6 +257,20 @@
 	return nil
 }
 
+// cancelAfter returns a context that ends with ctx or after a time.
+func (m *Mirror) cancelAfter(ctx context.Context, d time.Duration) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	timeout := m.cfg.Timer.After(d)
+	go func() {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+		case <-timeout:
+		}
+	}()
+	return ctx
+}
+
 // handleError records that a call failed, unless the call was canceled, which
 // says nothing about the store. It returns an error if Run is to back off.
 func (m *Mirror) handleError(ctx, call context.Context, start time.Duration, err error) error {
@@ -256,10 +285,13 @@
 		m.asOf = 0
 		return nil
 	}
+	now := m.cfg.Timer.Now()
 	if !m.failing {
+		m.failing, m.failingSince = true, now
 		m.cfg.OnStoreState(err)
 	}
-	m.failing, m.lastFailed = true, start
+	// An answer that never came was due answerTimeout ago at the latest.
+	m.lastOut = max(start, now-answerTimeout)
 	return err
 }
 
