soak: let servers leave without a report, also after an outage

Cause: the soak always reported a drain in the server's entry, and excused a late request if the host had been disturbed less than 3 s before the drain.

Change: half of the drains remove the entry without a report, half of these after an outage of the store for every other host. A host is excused by what disturbed it in the 3 s before the request, the store by what disturbed it in the 3 s before the leave. The stand-in's settings state both bounds.

--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -114,14 +114,26 @@
 func (c *checker) disrupted(host int, from, to time.Time, scopes ...scope) bool {
 	for _, d := range c.disruptions {
 		affects := d.scope == scopeHosts || d.scope == scopeHost && d.host == host || slices.Contains(scopes, d.scope)
-		notRecovered := d.to.IsZero() || d.to.Add(recoveryTime).After(from)
-		if affects && notRecovered && d.from.Before(to) {
+		if affects && d.overlaps(from, to) {
 			return true
 		}
 	}
 	return false
 }
 
+// storeDisrupted reports whether a fault of the store lasted, or ended less than
+// recoveryTime before, at some time between from and to.
+func (c *checker) storeDisrupted(from, to time.Time) bool {
+	return slices.ContainsFunc(c.disruptions, func(d disruption) bool { return d.scope == scopeStore && d.overlaps(from, to) })
+}
+
+// overlaps reports whether the disruption lasted, or ended less than recoveryTime
+// before, at some time between from and to.
+func (d disruption) overlaps(from, to time.Time) bool {
+	notRecovered := d.to.IsZero() || d.to.Add(recoveryTime).After(from)
+	return notRecovered && d.from.Before(to)
+}
+
 // checkServers checks that requests reached servers of the right service,
 // region and workspace, unchanged and without their key.
 func (c *checker) checkServers() {
@@ -254,7 +266,9 @@
 }
 
 // checkDrains checks that a draining server gets no requests later than
-// drainDelay after it reported the drain.
+// drainDelay after the store had its report or the removal of its entry. A store
+// that was disturbed then, or a host that was disturbed shortly before the
+// request, excuses one.
 func (c *checker) checkDrains() {
 	c.cluster.mu.Lock()
 	defer c.cluster.mu.Unlock()
@@ -262,10 +276,11 @@
 		a := c.attemptsByID[id]
 		for _, r := range runs {
 			drainedAt := c.cluster.drainedAt[r.Server]
-			if a == nil || drainedAt.IsZero() || r.At.Before(drainedAt.Add(drainDelay)) || c.disrupted(a.host, drainedAt, r.At, scopeStore) {
+			if a == nil || drainedAt.IsZero() || r.At.Before(drainedAt.Add(drainDelay)) ||
+				c.disrupted(a.host, r.At, r.At) || c.storeDisrupted(drainedAt, r.At) {
 				continue
 			}
-			c.addViolation("%s reached server %s %s after it reported that it drains", id, r.Server, r.At.Sub(drainedAt))
+			c.addViolation("%s reached server %s %s after it began to drain", id, r.Server, r.At.Sub(drainedAt))
 		}
 	}
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -128,7 +128,13 @@
 		time.Sleep(e.duration)
 		b.SetProcessingTime(50 * time.Millisecond)
 	}},
-	{"drain", 3, scopePlanned, func(c *cluster, e event) { c.drainBackend(c.backendOf(e)) }},
+	{"drain", 3, scopePlanned, func(c *cluster, e event) {
+		if e.choice%4 == 0 {
+			c.storeOutage(e)
+			time.Sleep(time.Duration(e.pick%1900) * time.Millisecond)
+		}
+		c.drainBackend(c.backendOf(e), e.choice%2 == 0)
+	}},
 	{"rotate", 5, scopePlanned, func(c *cluster, e event) { c.rotateKeys(e.choice%2 == 0) }},
 	{"evacuate", 2, scopePlanned, func(c *cluster, e event) {
 		d := domains[e.pick%len(domains)]
@@ -188,14 +194,36 @@
 
 // injectFault runs a fault and records its time and scope.
 func (c *cluster) injectFault(f fault, e event) {
-	c.mu.Lock()
-	n := len(c.disruptions)
-	c.disruptions = append(c.disruptions, disruption{scope: f.scope, host: e.pick % len(c.hosts), from: time.Now()})
-	c.mu.Unlock()
+	end := c.beginDisruption(f.scope, e.pick%len(c.hosts))
 	f.inject(c, e)
+	end()
+}
+
+// beginDisruption records that a disruption begins, and when end is called.
+func (c *cluster) beginDisruption(s scope, host int) (end func()) {
 	c.mu.Lock()
-	c.disruptions[n].to = time.Now()
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	n := len(c.disruptions)
+	c.disruptions = append(c.disruptions, disruption{scope: s, host: host, from: time.Now()})
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.disruptions[n].to = time.Now()
+	}
+}
+
+// storeOutage makes the store fail for every other host.
+func (c *cluster) storeOutage(e event) {
+	for i, h := range c.hosts {
+		if (i+e.pick)%2 == 0 {
+			continue
+		}
+		end := c.beginDisruption(scopeHost, i)
+		defer end()
+		c.store.SetFault(h.IP, storeFaults[e.choice/4%len(storeFaults)])
+		defer c.store.SetFault(h.IP, stand.FaultNone)
+	}
+	time.Sleep(e.duration)
 }
 
 func (c *cluster) hostOf(e event) *host { return c.hosts[e.pick%len(c.hosts)] }
@@ -239,9 +267,15 @@
 	return n
 }
 
-// drainBackend drains and removes a server and starts one in its place.
-func (c *cluster) drainBackend(b *backend) {
-	b.Drain()
+// drainBackend drains and removes a server and starts one in its place. A silent
+// server does not report that it drains: its entry is removed, and it serves on
+// for the same time.
+func (c *cluster) drainBackend(b *backend, silent bool) {
+	if silent {
+		c.store.Remove("servers", b.id)
+	} else {
+		b.Drain()
+	}
 	c.mu.Lock()
 	if c.drainedAt[b.id].IsZero() {
 		c.drainedAt[b.id] = time.Now()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -209,7 +209,7 @@
 		Caller: callerPort, Ready: readyPort, Lookup: lookupPort, Peer: peerPort, Memory: 284,
 		Bounds: core.PlatformLimits{
 			ShutdownGrace: gracePeriod, MaxLookupTTL: 5 * time.Second, RetryRatio: retryRatio, MinRetries: retryAllowance, RetryWindow: retryWindow,
-			RateSlack: rateSlack,
+			RateSlack: rateSlack, DrainTimeout: drainDelay, ContactTime: recoveryTime,
 		},
 	}}
 	var err error
