--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -9,7 +9,6 @@
 	"azurering/core"
 	"azurering/core/codes"
 	"azurering/core/gossip"
-	"azurering/core/mirror"
 	"azurering/core/quota"
 	"azurering/core/timer"
 	"azurering/io/beacon"
@@ -19,14 +18,6 @@
 	// heartbeatInterval is the time between two heartbeats. Loads at servers
 	// change within a second, and a failed host must be noticed within two.
 	heartbeatInterval = 400 * time.Millisecond
-	// catchUpDelay is how long a host that lags behind another one waits
-	// before it fetches that host's copy: the answer of the store is usually
-	// on its way.
-	catchUpDelay = 250 * time.Millisecond
-	// fetchTimeout bounds the first attempt to fetch changes, because the other
-	// host may have frozen. Later attempts have the time that a whole table
-	// takes.
-	fetchTimeout = 500 * time.Millisecond
 	// hostListRetry is the delay before another attempt to register in the
 	// store's list of hosts and to read it.
 	hostListRetry = 500 * time.Millisecond
@@ -126,69 +117,3 @@
 	}
 	return forwardTo
 }
-
-// wake sends to a channel with room for one value, unless it is full.
-func wake(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// fetch fetches the changes of a table after a version from another host.
-func (h *host) fetch(ctx context.Context, from string, table core.FeedTable, after uint64, patient bool) (mirror.Snapshot, error) {
-	if after > 0 && !patient {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
-	}
-	return beacon.FetchSnapshot(ctx, from, h.cfg.Place.PeerPort, table, after)
-}
-
-// missing returns the address of a host that has a change of a table that is
-// missing in this host's copy, or "" if none has, and the version up to which
-// the copy is complete.
-func (h *host) missing(table core.FeedTable) (from string, asOf uint64) {
-	asOf, _ = h.state.mirrors[table].Versions()
-	newest, address := h.members.NewestVersion(table)
-	if newest <= asOf {
-		return "", asOf
-	}
-	return address, asOf
-}
-
-// runCatchUp fetches the changes of a table that other hosts have. Hosts that
-// do not follow the store learn all changes this way; for the others it
-// covers calls to the store that got no answer.
-func (h *host) runCatchUp(ctx context.Context, table core.FeedTable) {
-	failed := false // the last attempt failed
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.catchUpWake[table]:
-		}
-		m := h.state.mirrors[table]
-		if from, _ := h.missing(table); from == "" {
-			continue
-		}
-		if h.members.FollowsStore() {
-			// The store's own answer is on its way.
-			<-h.timer.After(catchUpDelay)
-		}
-		from, asOf := h.missing(table)
-		if from == "" || asOf == 0 && h.members.FollowsStore() && !m.Failing() {
-			continue
-		}
-		c, err := h.fetch(ctx, from, table, asOf, failed)
-		failed = err != nil
-		log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": table, "own": asOf, "newest": c.Newest, "from": from})
-		if err != nil {
-			log.WithError(err).Warn("edge: fetching changes from another host failed; trying another one that has them")
-			h.members.ClearVersions(from)
-			wake(h.catchUpWake[table])
-			continue
-		}
-		log.WithField("adopted", m.Merge(c)).Debug("edge: changes fetched from another host")
-	}
-}
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -14,7 +14,6 @@
 	"azurering/core/picker"
 	"azurering/core/quota"
 	"azurering/core/routes"
-	"azurering/io/conns"
 )
 
 // longPollWait is how long one call waits for changes of a table. A
@@ -22,39 +21,6 @@
 // affected, changes are late by as much; the platform allows 5 s.
 const longPollWait = 3 * time.Second
 
-const (
-	// sendAllowance is the time within which a request reaches its server after
-	// the choice: a new connection, and the way there.
-	sendAllowance = conns.DialTimeout + 100*time.Millisecond
-	// defaultDrainTimeout and defaultContactTime apply if the platform does not
-	// state the bounds.
-	defaultDrainTimeout = 2 * time.Second
-	defaultContactTime  = 3 * time.Second
-	// minExpiryBeats is the fewest missed heartbeats of a server during an outage
-	// that let its entry expire. It expires after three, and up to one and a half
-	// may pass before the outage, since servers keep the interval only roughly.
-	minExpiryBeats = 1.5
-)
-
-// holdLimits returns how long the removed entry of a server may count as
-// expired. The server may have left for good, and then no request may reach it
-// later than the platform's drain timeout after its removal. That binds this
-// host again once it has reached the store for the platform's contact time.
-func holdLimits(place core.HostSettings) mirror.HoldLimits {
-	drain, contact := place.Bounds.DrainTimeout, place.Bounds.ContactTime
-	if drain <= 0 {
-		drain = defaultDrainTimeout
-	}
-	if contact <= 0 {
-		contact = defaultContactTime
-	}
-	return mirror.HoldLimits{
-		MinOutage: time.Duration(minExpiryBeats * float64(place.ServerHeartbeat)),
-		Removal:   max(drain-sendAllowance, 0),
-		Outage:    max(contact-sendAllowance, 0),
-	}
-}
-
 // RowDecoders decodes the rows that the platform writes. All fields are required.
 type RowDecoders struct {
 	// Rules decodes the configuration.
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	// DialTimeout bounds the opening of a connection. It covers a round trip of 24 ms between regions with a busy accept
-	// queue. It does not cover a lost SYN: TCP retransmits it only after a second,
-	// and another server can respond sooner.
+	// DialTimeout bounds the opening of a connection. It covers a round trip of
+	// 24 ms between regions with a busy accept queue. It does not cover a lost
+	// SYN: TCP retransmits it only after a second, and another server can respond
+	// sooner.
 	DialTimeout = 400 * time.Millisecond
 	// unackedTimeout is the TCP_USER_TIMEOUT of connections. It allows for a few
 	// retransmissions, which begin after 200 ms.
