conns: bound the head of a server's response

Callers would see: connections that break when this host runs out of memory.

Cause: http.ReadResponse reads a status line or a header of any length into memory. A damaged server that sends a head without end fills it until the request's deadline.

Change: the bytes that are read for one head are bounded to 256 KiB. The exchange then fails as one whose request may have run.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,6 +21,9 @@
 	// maxBufferedBody bounds, in bytes, the response body that is buffered before
 	// any of it goes to the caller. Only large downloads are longer.
 	maxBufferedBody = 1 << 20
+	// maxHeadBytes bounds the head of a response. A damaged server may send one
+	// without end.
+	maxHeadBytes = 256 << 10
 	// maxStrayResponses bounds the responses that are read for one request:
 	// interim ones, stray ones to other requests, and its own.
 	maxStrayResponses = 3
@@ -43,6 +47,7 @@
 	net.Conn
 	pool   *Pool
 	server core.Instance
+	head   *io.LimitedReader // below reader; bounds the bytes that are read for a head
 	reader *bufio.Reader
 
 	mu          sync.Mutex
@@ -175,7 +180,9 @@
 // were any of the latter.
 func (c *conn) readHeader(x *exchange) (resp *http.Response, meta core.ReplyMeta, hadStray bool, err error) {
 	for range maxStrayResponses {
+		c.head.N = maxHeadBytes
 		resp, err = http.ReadResponse(c.reader, x.request)
+		c.head.N = math.MaxInt64
 		if err != nil {
 			return nil, meta, hadStray, errors.Wrap(err, "conns: response cannot be parsed")
 		}
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -372,3 +372,34 @@
 		})
 	}
 }
+
+// Guards against a server that sends a head without end: this host would keep all
+// of it in memory until the request's deadline, and run out of memory.
+func TestEndlessHeadEndsTheExchange(t *testing.T) {
+	const sent = 64 << 20 // bytes; socket buffers hold a small part of that
+	for name, text := range map[string]string{
+		"no answer": "a", "a status line": "HTTP/1.1 200 a", "a header line": "HTTP/1.1 200 OK\r\nX: a", "header lines": "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: a\r\n", 100),
+		"interim responses": strings.Repeat("HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n", 100),
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			s, _ := startServer(t, func(c net.Conn, _ *http.Request) bool {
+				part := []byte(strings.Repeat(text[len(text)-1:], 64<<10))
+				if strings.HasSuffix(text, "\n") {
+					part = []byte(strings.Repeat(text[strings.Index(text, "\n")+1:], 100))
+				}
+				total, err := io.WriteString(c, text)
+				for n := 0; err == nil && total < sent; total += n {
+					n, err = c.Write(part)
+				}
+				written <- total
+				return false
+			})
+			_, _, err := exchange(newPool(), s, call("1"))
+			var failed *core.SendError
+			require.ErrorAs(t, err, &failed)
+			require.Equal(t, core.SendUnknown, failed.State)
+			require.Less(t, <-written, sent/2)
+		})
+	}
+}
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -225,7 +226,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "conns: cannot connect to the server")
 	}
-	c := &conn{Conn: raw, pool: p, server: s, reader: bufio.NewReaderSize(raw, readBufferSize), pending: x}
+	head := &io.LimitedReader{R: raw, N: math.MaxInt64}
+	c := &conn{Conn: raw, pool: p, server: s, head: head, reader: bufio.NewReaderSize(head, readBufferSize), pending: x}
 	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
