edge: end the patience of fetching with what was missing

Cause: a fetch that failed gave the next one the longer timeout, also if that was for another change seconds later. A host that had frozen and woken, and then asked a host that froze, waited for 1.5 s again.

Change: the longer timeout holds only until nothing is missing.

There is no test, as only the length of the wait in real time shows the difference.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -26,7 +26,7 @@
 // do not follow the store learn all changes this way; for the others it
 // covers calls to the store that got no answer.
 func (h *host) runCatchUp(ctx context.Context, table core.FeedTable) {
-	failed := false // the last attempt failed
+	failed := false // the last attempt to fetch what is missing now failed
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,6 +35,7 @@
 		}
 		m := h.state.mirrors[table]
 		if from, _, _ := h.missing(table); from == "" {
+			failed = false
 			continue
 		}
 		if h.members.FollowsStore() {
