all: show the limits that servers name in logs and metrics

Answers are now read for the limit and the picker remembers the latest one of each server; no choice uses it yet. Each request line has the limit of its server and its age, each change of a limit has a line (one a second and server at most), and there are the gauge azurering_limited_servers and the counters azurering_limited_requests and azurering_invalid_limits. A value that is no decimal number of 0 or more changes nothing and is counted; of several numbers the lowest counts; only an answer to a request that was run ends a limit by naming none.

Tests: platform TestMetaParsesRateLimits; core/picker TestAnswersNameAndEndLimits, TestFrequentChangesOfALimitAreMarked.

--- a/app/edge/count.go
+++ b/app/edge/count.go
@@ -47,6 +47,7 @@
 		{"azurering_server_connections", "Open connections to backend servers.", func() float64 { return float64(h.pool.NumConns()) }},
 		{"azurering_servers", "Backend servers that are listed.", func() float64 { return float64(len(h.view.Servers())) }},
 		{"azurering_servers_lapsed", "Backend servers in use whose entries have lapsed.", func() float64 { return float64(h.view.NumLapsed()) }},
+		{"azurering_limited_servers", "Backend servers that name a limit of requests per second.", func() float64 { return float64(h.view.NumLimited()) }},
 		{"azurering_hosts", "Other hosts that are alive.", h.aliveHosts},
 		{"azurering_config_version", "Version of the configuration in force; 0 for none.", h.configVersion},
 	} {
--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -126,11 +126,12 @@
 	return conns.New(conns.Config{Timer: t, Dialect: cfg.Dialect})
 }
 
-func newView(cfg Config, t core.Timer, w *clusterState, members *gossip.Members, pool *conns.Pool) *picker.Picker {
+func newView(cfg Config, t core.Timer, w *clusterState, members *gossip.Members, pool *conns.Pool, r *recorder) *picker.Picker {
 	c := &checker{cfg: cfg, state: w, pool: pool}
 	view := picker.New(picker.Config{
 		Timer: t, Host: cfg.Place.Name, Domain: cfg.Place.Domain, Region: cfg.Place.Region, Regions: cfg.Place.Regions,
 		DomainHosts: members.ReadyHosts, Service: w.service, RequestCheck: c.check,
+		OnLimit: r.logLimit,
 	})
 	c.view, w.view = view, view
 	return view
--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -40,6 +40,12 @@
 		fields["removed"] = d.RemovedFor.Milliseconds()
 		r.metrics.CountLapsedUse()
 	}
+	if d.Limit.Named {
+		fields["limit"], fields["limitage"] = d.Limit.PerSecond, d.LimitAge.Milliseconds()
+		if len(servers) > 0 {
+			r.metrics.CountLimitedRequest()
+		}
+	}
 	if callerLeft {
 		fields["left"] = true
 	}
@@ -52,6 +58,23 @@
 	r.log.WithFields(fields).Info("edge: request handled")
 }
 
+// logLimit counts and logs a change of a server's limit, or a limit that cannot be
+// used.
+func (r *recorder) logLimit(c picker.LimitChange) {
+	if c.Invalid {
+		r.metrics.CountInvalidLimit()
+	}
+	if c.Frequent {
+		return
+	}
+	log := r.log.WithFields(logrus.Fields{"event": "limit", "server": c.Server, "named": c.New.Named, "limit": c.New.PerSecond, "before": c.Old.PerSecond})
+	if c.Invalid {
+		log.Warn("edge: limit that a server names is no decimal number of 0 or more; what was known stays in force")
+		return
+	}
+	log.Info("edge: limit of a server changed")
+}
+
 // checker runs the health checks that the view requests.
 type checker struct {
 	cfg   Config
@@ -76,5 +99,8 @@
 		}
 		log.Info("edge: server health checked")
 		c.view.HandleCheck(i, healthy, meta.WarmupLeft)
+		if err == nil {
+			c.view.RecordLimit(i, meta)
+		}
 	}()
 }
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -43,9 +43,27 @@
 	HasLoad     bool          // Running and Waiting are set
 	Running     int           // requests that the server executes
 	Waiting     int           // requests in the server's queue
+	RateLimit   RateLimit     // the request rate that the server accepts
 	ConnectTime time.Duration // time until a connection to the server was available; measured by this host
 }
 
+// RateLimit is what an answer says about the rate of requests that its server
+// accepts from all hosts together.
+type RateLimit struct {
+	State     RateLimitState
+	PerSecond float64 // requests per second, 0 or more; set if State is RateLimitNamed
+}
+
+// RateLimitState says whether an answer names a limit.
+type RateLimitState string
+
+// The values of RateLimitState.
+const (
+	RateLimitAbsent  RateLimitState = ""        // the answer names no limit
+	RateLimitNamed   RateLimitState = "named"   // the answer names a limit
+	RateLimitInvalid RateLimitState = "invalid" // the answer names a limit that cannot be used
+)
+
 // ForwardInfo holds what a host adds to the caller's headers in the request to a
 // server.
 type ForwardInfo struct {
--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -61,6 +61,10 @@
 	// RemovedFor is how long ago the server's entry was removed. It is 0 unless
 	// the entry has lapsed.
 	RemovedFor time.Duration
+	// Limit is what was known of the server's limit at the choice, and LimitAge
+	// how long ago the server named it.
+	Limit    Limit
+	LimitAge time.Duration
 
 	view   *Picker
 	server *server
@@ -165,7 +169,10 @@
 	}
 	queued := s.estimatedLoad(now) >= float64(s.Slots)
 	s.inFlight++
-	lease := &Lease{Instance: s.Instance, view: v, server: s, start: now, queued: queued}
+	lease := &Lease{Instance: s.Instance, view: v, server: s, start: now, queued: queued, Limit: s.limit}
+	if s.limit.Named {
+		lease.LimitAge = now - s.limit.HeardAt
+	}
 	if s.expiresAt > 0 {
 		lease.RemovedFor = now - s.removedAt
 	}
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -50,6 +50,9 @@
 	// Picker.HandleCheck. It is called with the view locked, so it must neither
 	// block nor call the view.
 	RequestCheck func(core.Instance)
+	// OnLimit is called for each change of a server's limit and for each limit
+	// that cannot be used. Nil is allowed.
+	OnLimit func(LimitChange)
 }
 
 // Picker holds this host's knowledge of the backend servers. It is safe for
@@ -88,6 +91,8 @@
 	suspect        bool // gets no requests until a health check succeeds
 	nextCheck      time.Duration
 	checks         int // health checks requested since the last answer
+	limit          Limit
+	limitLoggedAt  time.Duration // last change of limit that was reported as not frequent
 }
 
 // New returns a view without servers.
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -18,6 +18,7 @@
 	view        *picker.Picker
 	checks      []core.ServerID
 	domainHosts []core.HostID
+	onLimit     func(picker.LimitChange)
 }
 
 var regions = map[core.DomainID]core.RegionID{"a": "north", "b": "north", "c": "south"}
@@ -31,6 +32,11 @@
 			return &core.ServiceConfig{HealthPath: "/health", ColdDuration: 3 * time.Second, ColdRate: 2.5}
 		},
 		RequestCheck: func(i core.Instance) { env.checks = append(env.checks, i.Name) },
+		OnLimit: func(c picker.LimitChange) {
+			if env.onLimit != nil {
+				env.onLimit(c)
+			}
+		},
 	})
 	return env
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -71,6 +71,8 @@
 	// RemovedFor is the age of the removal of the last server's entry when the
 	// server was chosen, or 0 if the entry had not lapsed.
 	RemovedFor  time.Duration
+	Limit       picker.Limit  // limit of the last server, as known when it was chosen
+	LimitAge    time.Duration // how long before that choice the server named it
 	ConnectTime time.Duration // from the last choice of a server until a connection was available
 	Duration    time.Duration // from arrival until the answer
 }
@@ -199,8 +201,9 @@
 		lease, err := r.cfg.Picker.Acquire(r.ask())
 		if err == nil || r.cfg.Timer.Now()+holdPollInterval > until {
 			r.record.WaitTime, r.record.RemovedFor = r.cfg.Timer.Now()-r.call.Arrived, 0
+			r.record.Limit, r.record.LimitAge = picker.Limit{}, 0
 			if lease != nil {
-				r.record.RemovedFor = lease.RemovedFor
+				r.record.RemovedFor, r.record.Limit, r.record.LimitAge = lease.RemovedFor, lease.Limit, lease.LimitAge
 			}
 			return lease, err
 		}
@@ -277,6 +280,7 @@
 	forward := core.ForwardInfo{Server: lease.Name, Workspace: r.record.Workspace, TimeLeft: remaining}
 	reply, meta, err := r.cfg.Backends.Exchange(ctx, lease.Instance, r.call, forward)
 	r.record.ConnectTime = meta.ConnectTime
+	r.cfg.Picker.RecordLimit(lease.Instance, meta)
 	var load *picker.Load
 	if meta.HasLoad {
 		load = &picker.Load{Running: meta.Running, Queued: meta.Waiting}
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -35,6 +35,8 @@
 	lookups  metric.Int64Counter
 	store    metric.Int64Counter
 	lapsed   metric.Int64Counter
+	limited  metric.Int64Counter
+	invalid  metric.Int64Counter
 }
 
 // New returns metrics with a new Prometheus registry.
@@ -66,6 +68,8 @@
 		{&m.lookups, "azurering_lookups", "Look-ups answered."},
 		{&m.store, "azurering_store_operations", "Operations on the platform's store, by kind and result code."},
 		{&m.lapsed, "azurering_lapsed_requests", "Requests sent to servers whose entries had lapsed."},
+		{&m.limited, "azurering_limited_requests", "Requests sent to servers that were known to name a limit."},
+		{&m.invalid, "azurering_invalid_limits", "Answers whose limit of requests per second cannot be used."},
 	}
 	for _, c := range counters {
 		if *c.counter, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.help)); err != nil {
@@ -97,6 +101,13 @@
 // lapsed.
 func (m *Metrics) CountLapsedUse() { m.lapsed.Add(context.Background(), 1) }
 
+// CountLimitedRequest counts a request that was sent to a server that was known to
+// name a limit.
+func (m *Metrics) CountLimitedRequest() { m.limited.Add(context.Background(), 1) }
+
+// CountInvalidLimit counts an answer whose limit cannot be used.
+func (m *Metrics) CountInvalidLimit() { m.invalid.Add(context.Background(), 1) }
+
 // CountStoreOperation counts an operation on the platform's store.
 func (m *Metrics) CountStoreOperation(operation string, code codes.Code) {
 	m.store.Add(context.Background(), 1, metric.WithAttributes(
