pacer: keep the requests of all hosts within the limit of a server

Cause: nothing used the limit. Reading it on each host alone would not have helped: in the collected logs the busiest host sent 5.0 a second of the 6.2 and 6.6 of the 14.6. The figure binds all hosts together, so what adds up their requests has to be one place.

Each server with a limit has a coordinator: the live and ready host of its failure domain (else its region, else any) that comes first by a hash of its name. A host asks it by datagram before each request to the server; the coordinator takes it from one token bucket. Without a permit the request goes to another server, which counts as the owner of the object meanwhile, and the host asks again after the time that the coordinator gave. If no server may take it in time, it is refused at once with a Retry-After that spreads the callers. Weights and saturation count what a limited server takes, not its slots. Retries and health checks need a permit as well.

A host that becomes coordinator grants nothing for 1.2 s, until no host asks the previous one; after a pause of its own it starts again in that way. What is known of a limit goes with each permit message, to the coordinator when an answer changes it, and from there to all hosts, so that the end of a limit reaches hosts that get no answer of the server. A limit of 0 is granted one request in 4 s, or nobody would learn that it has ended.

Shares by demand, as core/quota uses them for workspaces, were not taken: 6 requests a second over ten hosts are 0.6 each, and a token in each bucket is more than the limit allows at once.

--- a/app/edge/count.go
+++ b/app/edge/count.go
@@ -48,6 +48,7 @@
 		{"azurering_servers", "Backend servers that are listed.", func() float64 { return float64(len(h.view.Servers())) }},
 		{"azurering_servers_lapsed", "Backend servers in use whose entries have lapsed.", func() float64 { return float64(h.view.NumLapsed()) }},
 		{"azurering_limited_servers", "Backend servers that name a limit of requests per second.", func() float64 { return float64(h.view.NumLimited()) }},
+		{"azurering_coordinated_servers", "Backend servers with a limit to which this host grants the requests.", func() float64 { return float64(h.pacer.NumCoordinated()) }},
 		{"azurering_hosts", "Other hosts that are alive.", h.aliveHosts},
 		{"azurering_config_version", "Version of the configuration in force; 0 for none.", h.configVersion},
 	} {
@@ -59,15 +60,7 @@
 }
 
 // aliveHosts returns the number of other hosts that are alive.
-func (h *host) aliveHosts() float64 {
-	n := 0
-	for _, p := range h.members.Peers() {
-		if p.Alive {
-			n++
-		}
-	}
-	return float64(n)
-}
+func (h *host) aliveHosts() float64 { return float64(len(h.aliveAddresses())) }
 
 // configVersion returns the version of the configuration in force, or 0.
 func (h *host) configVersion() float64 {
--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -65,7 +65,7 @@
 		fx.Supply(cfg),
 		fx.Provide(
 			func() core.Timer { return timer.NewReal() },
-			metric.New, newFeed, newMembers, newLimiter, newBudget, newBackends, newClusterState, newView, newRecorder, newHost,
+			metric.New, newFeed, newMembers, newLimiter, newBudget, newBackends, newClusterState, newChecker, newView, newRecorder, newHost,
 		),
 		fx.Populate(&a.host),
 		fx.Invoke(func(l fx.Lifecycle, h *host) {
@@ -126,8 +126,7 @@
 	return conns.New(conns.Config{Timer: t, Dialect: cfg.Dialect})
 }
 
-func newView(cfg Config, t core.Timer, w *clusterState, members *gossip.Members, pool *conns.Pool, r *recorder) *picker.Picker {
-	c := &checker{cfg: cfg, state: w, pool: pool}
+func newView(cfg Config, t core.Timer, w *clusterState, members *gossip.Members, r *recorder, c *checker) *picker.Picker {
 	view := picker.New(picker.Config{
 		Timer: t, Host: cfg.Place.Name, Domain: cfg.Place.Domain, Region: cfg.Place.Region, Regions: cfg.Place.Regions,
 		DomainHosts: members.ReadyHosts, Service: w.service, RequestCheck: c.check,
--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -89,6 +89,7 @@
 		})
 		h.budget.SetHosts(len(others.Hosts) + 1)
 		h.view.SetRemoteInFlight(others.InFlight)
+		h.sendLimitNotices()
 		for _, id := range h.view.Tick() {
 			h.cfg.Log.WithFields(logrus.Fields{"event": "server", "server": id}).Info("edge: lapsed entry of a server was not renewed; the server gets no more requests")
 		}
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -15,6 +15,7 @@
 	"azurering/core"
 	"azurering/core/gossip"
 	"azurering/core/lookup"
+	"azurering/core/pacer"
 	"azurering/core/picker"
 	"azurering/core/proxy"
 	"azurering/core/quota"
@@ -51,6 +52,7 @@
 	members  *gossip.Members
 	limiter  *quota.Limiter
 	budget   *retry.Budget
+	pacer    *pacer.Pacer
 	pool     *conns.Pool
 	state    *clusterState
 	view     *picker.Picker
@@ -70,7 +72,7 @@
 
 func newHost(
 	cfg Config, t core.Timer, feed core.Feed, m *metric.Metrics, members *gossip.Members, l *quota.Limiter, b *retry.Budget, pool *conns.Pool,
-	w *clusterState, view *picker.Picker, r *recorder,
+	w *clusterState, view *picker.Picker, r *recorder, c *checker,
 ) *host {
 	h := &host{
 		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, state: w, view: view,
@@ -79,9 +81,12 @@
 			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
 		},
 	}
+	h.pacer = h.newPacer()
 	h.proxy = proxy.New(proxy.Config{
 		Timer: t, Backends: pool, Picker: view, Limiter: l, Budget: b, CurrentTable: w.table.Load, BorrowTokens: h.borrow,
+		Permit: h.pacer.Permit,
 	})
+	c.permit = h.pacer.Permit
 	return h
 }
 
@@ -91,7 +96,8 @@
 func (h *host) start(_ context.Context) error {
 	var err error
 	h.beacon, err = beacon.Listen(beacon.Config{
-		Address: h.cfg.Place.Address, Port: h.cfg.Place.PeerPort, OnDigest: h.receiveDigest, OnTokenRequest: h.limiter.Lend, Log: h.cfg.Log,
+		Address: h.cfg.Place.Address, Port: h.cfg.Place.PeerPort, OnDigest: h.receiveDigest, OnTokenRequest: h.limiter.Lend,
+		OnPermitRequest: h.pacer.Grant, OnLimitNotice: h.pacer.Notice, Log: h.cfg.Log,
 	})
 	if err != nil {
 		return err
--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -46,6 +46,12 @@
 			r.metrics.CountLimitedRequest()
 		}
 	}
+	if d.PermitBy != "" {
+		fields["permitby"], fields["permitwait"] = d.PermitBy, d.PermitWait.Milliseconds()
+	}
+	if d.PassedOver != "" {
+		fields["passed"] = d.PassedOver
+	}
 	if callerLeft {
 		fields["left"] = true
 	}
@@ -67,7 +73,7 @@
 	if c.Frequent {
 		return
 	}
-	log := r.log.WithFields(logrus.Fields{"event": "limit", "server": c.Server, "named": c.New.Named, "limit": c.New.PerSecond, "before": c.Old.PerSecond})
+	log := r.log.WithFields(logrus.Fields{"event": "limit", "server": c.Server, "named": c.New.Named, "limit": c.New.PerSecond, "before": c.Old.PerSecond, "source": limitSource(c)})
 	if c.Invalid {
 		log.Warn("edge: limit that a server names is no decimal number of 0 or more; what was known stays in force")
 		return
@@ -75,12 +81,27 @@
 	log.Info("edge: limit of a server changed")
 }
 
-// checker runs the health checks that the view requests.
+// limitSource returns where a change was learned, for logs: "server", or the host
+// that told of it.
+func limitSource(c picker.LimitChange) string {
+	if c.Source == "" {
+		return "server"
+	}
+	return string(c.Source)
+}
+
+// checker runs the health checks that the view requests. view and permit are set
+// before the first one.
 type checker struct {
-	cfg   Config
-	state *clusterState
-	pool  *conns.Pool
-	view  *picker.Picker
+	cfg    Config
+	state  *clusterState
+	pool   *conns.Pool
+	view   *picker.Picker
+	permit func(context.Context, core.Instance) core.Permit
+}
+
+func newChecker(cfg Config, w *clusterState, pool *conns.Pool) *checker {
+	return &checker{cfg: cfg, state: w, pool: pool}
 }
 
 func (c *checker) check(i core.Instance) {
@@ -92,6 +113,11 @@
 		return
 	}
 	go func() {
+		// A check is a request to the server, too. The view requests another one.
+		if p := c.permit(context.Background(), i); !p.Granted {
+			c.cfg.Log.WithFields(logrus.Fields{"event": "check", "server": i.Name, "permitby": p.By}).Info("edge: health check put off; the server is at its limit")
+			return
+		}
 		healthy, meta, err := c.pool.CheckHealth(context.Background(), i, path)
 		log := c.cfg.Log.WithFields(logrus.Fields{"event": "check", "server": i.Name, "healthy": healthy, "cold": meta.WarmupLeft})
 		if err != nil {
--- a/core/gossip/source.go
+++ b/core/gossip/source.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "azurering/core"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"azurering/core"
+)
 
 // NewestVersion returns the version of the newest change of a table that another
 // live host reports, and the address of a host that has it, preferably one of
@@ -83,3 +87,32 @@
 		}
 	}
 }
+
+// Coordinator returns the name and the address of the host that decides for all
+// hosts about a key: of the live and ready hosts with the smallest distance, the
+// one with the lowest hash for the key. Hosts with the same view return the same
+// host. If no host is ready, that is this one.
+func (v *Members) Coordinator(key string, distance func(core.DomainID) int) (host core.HostID, address string) {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	nearest, lowest := 0, uint64(0)
+	consider := func(b *Heartbeat) {
+		d, rank := distance(b.Domain), xxhash.Sum64String(key+"/"+string(b.Host))
+		if host == "" || d < nearest || d == nearest && rank < lowest {
+			host, address, nearest, lowest = b.Host, b.Address, d, rank
+		}
+	}
+	if v.self.Ready {
+		consider(&v.self)
+	}
+	for _, p := range v.peers {
+		if p.Ready && v.isAlive(now, p) {
+			consider(&p.Heartbeat)
+		}
+	}
+	if host == "" {
+		return v.self.Host, v.self.Address
+	}
+	return host, address
+}
--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -65,6 +65,9 @@
 	// how long ago the server named it.
 	Limit    Limit
 	LimitAge time.Duration
+	// PassedOver is the first server that was passed over because it is at its
+	// limit, if any.
+	PassedOver core.ServerID
 
 	view   *Picker
 	server *server
@@ -165,7 +168,11 @@
 	}
 	s := v.pick(now, list, req)
 	if s == nil {
-		return nil, codes.New(codes.NoCapacity, "picker: no server of service %s has capacity within the latency target", req.Service)
+		err := codes.New(codes.NoCapacity, "picker: no server of service %s has capacity within the latency target", req.Service)
+		if wait := limitWait(now, list); wait > 0 {
+			return nil, &AtLimitError{Cause: err, Wait: wait}
+		}
+		return nil, err
 	}
 	queued := s.estimatedLoad(now) >= float64(s.Slots)
 	s.inFlight++
@@ -173,6 +180,15 @@
 	if s.limit.Named {
 		lease.LimitAge = now - s.limit.HeardAt
 	}
+	for _, c := range list {
+		if c.server == s {
+			break
+		}
+		if now < c.fullUntil {
+			lease.PassedOver = c.Name
+			break
+		}
+	}
 	if s.expiresAt > 0 {
 		lease.RemovedFor = now - s.removedAt
 	}
@@ -183,7 +199,7 @@
 // cold, or that is the owner of the object (for requests that are not sticky:
 // any server) and has a free slot. Otherwise it returns the one with the
 // earliest expected answer, or nil if none is expected to answer within
-// req.MaxLatency. A cold candidate is only listed when this host may warm it.
+// req.MaxLatency. Servers at their limits are passed over. A cold candidate is only listed when this host may warm it.
 // The owner is the first candidate that is not cold; the others are slower for
 // the object and only used while the service has spare slots.
 func (v *Picker) pick(now time.Duration, list []candidate, req Request) *server {
@@ -193,6 +209,9 @@
 	ownerSeen := false // the owner of the object was considered
 	saturated := req.Sticky && v.isSaturated(now, req.Service)
 	for _, c := range list {
+		if now < c.fullUntil {
+			continue // the next candidate takes its place as the owner
+		}
 		if c.cold {
 			c.nextWarm = now + warmInterval
 			return c.server
@@ -236,8 +255,9 @@
 		if s.suspect || s.isExpired(now) || v.evacuated[s.Domain] {
 			continue
 		}
-		busy += min(s.estimatedLoad(now), float64(s.Slots))
-		slots += float64(s.Slots)
+		usable := v.usableSlots(now, s)
+		busy += min(s.estimatedLoad(now), usable)
+		slots += usable
 	}
 	v.saturations[service] = saturation{at: now, saturated: busy > maxSpillLoad*slots}
 	return busy > maxSpillLoad*slots
--- a/core/picker/limit_test.go
+++ b/core/picker/limit_test.go
@@ -1,12 +1,14 @@
 package picker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"azurering/core"
+	"azurering/core/codes"
 	"azurering/core/picker"
 )
 
@@ -78,3 +80,78 @@
 	}
 	require.Equal(t, 8.0, changes[4].New.PerSecond)
 }
+
+// Guards against a request that waits, or is refused, because the server of its
+// object is at its limit, although another server has room.
+func TestServerAtItsLimitIsPassedOver(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.addServers(4, "a")
+	owner, err := env.view.Acquire(stickyAsk("x"))
+	require.NoError(t, err)
+	owner.Decline(300 * time.Millisecond)
+	next, err := env.view.Acquire(stickyAsk("x"))
+	require.NoError(t, err)
+	require.NotEqual(t, owner.Name, next.Name)
+	require.Equal(t, owner.Name, next.PassedOver)
+	next.Release(picker.OutcomeAnswered, nil)
+	again, err := env.view.Acquire(stickyAsk("x"))
+	require.NoError(t, err)
+	require.Equal(t, next.Name, again.Name, "one server takes the object over")
+	again.Release(picker.OutcomeAnswered, nil)
+	env.clock.Advance(300 * time.Millisecond)
+	back, err := env.view.Acquire(stickyAsk("x"))
+	require.NoError(t, err)
+	require.Equal(t, owner.Name, back.Name)
+}
+
+// Guards against requests that wait for servers of which all are at their limits.
+func TestAllServersAtTheirLimits(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.addServers(2, "a")
+	for _, wait := range []time.Duration{400 * time.Millisecond, time.Hour} {
+		lease, err := env.view.Acquire(stickyAsk("x"))
+		require.NoError(t, err)
+		lease.Decline(wait)
+	}
+	_, err := env.view.Acquire(stickyAsk("x"))
+	var atLimit *picker.AtLimitError
+	require.ErrorAs(t, err, &atLimit)
+	require.Equal(t, codes.NoCapacity, codes.Of(err))
+	require.Equal(t, 400*time.Millisecond, atLimit.Wait)
+	env.clock.Advance(time.Second)
+	first, err := env.view.Acquire(stickyAsk("x"))
+	require.NoError(t, err, "another attempt after a second at the latest, to notice the end of a low limit")
+	first.Release(picker.OutcomeAnswered, nil)
+}
+
+// Guards against objects that stay with a server that can take few of their
+// requests, and against a server whose limit nobody hears of any more.
+func TestLimitLowersTheShareOfAServer(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.addServers(4, "a")
+	owned := func() int {
+		n := 0
+		for i := range 400 {
+			lease, err := env.view.Acquire(stickyAsk(fmt.Sprint(i)))
+			require.NoError(t, err)
+			if lease.Name == "i-0" {
+				n++
+			}
+			lease.Release(picker.OutcomeCancelled, nil)
+		}
+		return n
+	}
+	before := owned()
+	require.Greater(t, before, 60)
+	// 1.2 requests a second of 250 ms fill 0.3 slots, which is half a slot at the
+	// usual load, of 3.
+	env.view.RecordLimit(instance(0, "a"), limited(1.2))
+	env.view.SetRemoteInFlight(nil)
+	require.InDelta(t, float64(before)/6, owned(), 12)
+	env.clock.Advance(3 * time.Second)
+	env.view.SetRemoteInFlight(nil)
+	require.Equal(t, before, owned(), "no answer has named the limit for some time")
+	env.view.RecordLimit(instance(0, "a"), core.ReplyMeta{Stamped: true})
+	env.view.SetRemoteInFlight(nil)
+	require.Equal(t, before, owned())
+}
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -92,6 +92,8 @@
 	nextCheck      time.Duration
 	checks         int // health checks requested since the last answer
 	limit          Limit
+	fullUntil      time.Duration // the server is at its limit until then
+	limitUntold    bool          // an answer changed limit, and TakeUntoldLimits has not returned the server since
 	limitLoggedAt  time.Duration // last change of limit that was reported as not frequent
 }
 
--- a/core/picker/share.go
+++ b/core/picker/share.go
@@ -128,21 +128,22 @@
 // have equal weights, so that all hosts of a locality rank the servers of an
 // object alike.
 func (v *Picker) updateWeights() {
+	now := v.cfg.Timer.Now()
 	for service, servers := range v.services {
 		d := v.demands[service]
 		if d == nil {
-			d = &demand{at: v.cfg.Timer.Now()}
+			d = &demand{at: now}
 			v.demands[service] = d
 		}
-		domains, regions := v.localities(servers, d)
+		domains, regions := v.localities(now, servers, d)
 		byDomain, byRegion := map[string]float64{}, map[string]float64{}
 		if domains[string(v.cfg.Domain)] != nil && regions[string(v.cfg.Region)] != nil {
 			byDomain = slotWeights(string(v.cfg.Domain), domains, normalizeDemand(domains))
 			byRegion = slotWeights(string(v.cfg.Region), regions, normalizeDemand(regions))
 		}
 		for _, s := range servers {
-			s.weight = weightOrOne(byRegion[string(v.cfg.Regions[s.Domain])]) * float64(s.Slots)
-			s.largeWeight = weightOrOne(byDomain[string(s.Domain)]) * float64(s.Slots)
+			s.weight = weightOrOne(byRegion[string(v.cfg.Regions[s.Domain])]) * v.usableSlots(now, s)
+			s.largeWeight = weightOrOne(byDomain[string(s.Domain)]) * v.usableSlots(now, s)
 		}
 	}
 }
@@ -158,7 +159,7 @@
 
 // localities returns the failure domains and the regions with their slots and
 // the demand for a service.
-func (v *Picker) localities(servers []*server, d *demand) (domains, regions map[string]*locality) {
+func (v *Picker) localities(now time.Duration, servers []*server, d *demand) (domains, regions map[string]*locality) {
 	domains, regions = make(map[string]*locality), make(map[string]*locality)
 	for domain, region := range v.cfg.Regions {
 		domains[string(domain)] = &locality{group: string(region), demand: d.busySlots[domain]}
@@ -166,7 +167,7 @@
 	}
 	for _, s := range servers {
 		if a := domains[string(s.Domain)]; a != nil && !v.evacuated[s.Domain] {
-			a.slots += float64(s.Slots)
+			a.slots += v.usableSlots(now, s)
 		}
 	}
 	for _, a := range domains {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -54,6 +55,8 @@
 	// BorrowTokens asks other hosts for tokens of a workspace's rate limit. It
 	// reports whether one was left for the request that asked.
 	BorrowTokens func(context.Context, core.WorkspaceID) bool
+	// Permit decides whether a request may be sent to a server that names a limit.
+	Permit func(context.Context, core.Instance) core.Permit
 }
 
 // AccessRecord describes how a request was handled, for logs and metrics.
@@ -70,9 +73,14 @@
 	WaitTime  time.Duration // from arrival until the last choice of a server
 	// RemovedFor is the age of the removal of the last server's entry when the
 	// server was chosen, or 0 if the entry had not lapsed.
-	RemovedFor  time.Duration
-	Limit       picker.Limit  // limit of the last server, as known when it was chosen
-	LimitAge    time.Duration // how long before that choice the server named it
+	RemovedFor time.Duration
+	Limit      picker.Limit  // limit of the last server, as known when it was chosen
+	LimitAge   time.Duration // how long before that choice the server named it
+	// PermitBy is the host that decided about the last permit that was asked for,
+	// and PermitWait the time after which it said to ask again; 0 if it granted.
+	PermitBy    core.HostID
+	PermitWait  time.Duration
+	PassedOver  core.ServerID // first server that was passed over at the last choice because it is at its limit
 	ConnectTime time.Duration // from the last choice of a server until a connection was available
 	Duration    time.Duration // from arrival until the answer
 }
@@ -198,12 +206,18 @@
 func (r *request) acquire(ctx context.Context) (*picker.Lease, error) {
 	until := min(r.call.Arrived+time.Duration(maxHoldFraction*float64(r.rule.LatencyTarget)), r.deadline)
 	for {
-		lease, err := r.cfg.Picker.Acquire(r.ask())
-		if err == nil || r.cfg.Timer.Now()+holdPollInterval > until {
+		lease, err := r.choose(ctx, until)
+		earliest := r.cfg.Timer.Now() + holdPollInterval // of a choice that may end differently
+		var atLimit *picker.AtLimitError
+		if errors.As(err, &atLimit) {
+			earliest = max(earliest, r.cfg.Timer.Now()+atLimit.Wait)
+		}
+		if err == nil || earliest > until {
 			r.record.WaitTime, r.record.RemovedFor = r.cfg.Timer.Now()-r.call.Arrived, 0
 			r.record.Limit, r.record.LimitAge = picker.Limit{}, 0
 			if lease != nil {
 				r.record.RemovedFor, r.record.Limit, r.record.LimitAge = lease.RemovedFor, lease.Limit, lease.LimitAge
+				r.record.PassedOver = lease.PassedOver
 			}
 			return lease, err
 		}
@@ -215,6 +229,26 @@
 	}
 }
 
+// choose chooses a server. It passes over those that name a limit and for which no
+// permit is granted, as long as it asks for permits before until.
+func (r *request) choose(ctx context.Context, until time.Duration) (*picker.Lease, error) {
+	for {
+		lease, err := r.cfg.Picker.Acquire(r.ask())
+		if err != nil || !lease.Limit.Named {
+			return lease, err
+		}
+		permit := r.cfg.Permit(ctx, lease.Instance)
+		r.record.PermitBy, r.record.PermitWait = permit.By, permit.Wait
+		if permit.Granted {
+			return lease, nil
+		}
+		lease.Decline(permit.Wait)
+		if r.cfg.Timer.Now() > until {
+			return nil, codes.New(codes.NoCapacity, "proxy: servers of service %s are at their limits", r.record.Service)
+		}
+	}
+}
+
 // tryServers sends the request to servers until one answers. A request that
 // may have run is only repeated if it is not an order.
 func (r *request) tryServers(ctx context.Context) (*core.Reply, error) {
@@ -361,11 +395,15 @@
 	reply := ErrorReply(status, code, err)
 	wait := time.Duration(0)
 	var limited *rateLimitError
+	var atLimit *picker.AtLimitError
 	switch {
 	case errors.As(err, &limited):
 		wait = limited.wait
 	case code == codes.NoConfig:
 		wait = startupRetryAfter
+	case errors.As(err, &atLimit):
+		// Callers that came together come back spread out.
+		wait = atLimit.Wait + time.Duration(rand.Int64N(int64(overloadRetryAfter)))
 	case notRun(code):
 		wait = overloadRetryAfter
 	}
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -51,6 +51,8 @@
 
 type testEnv struct {
 	clock    *timer.Manual
+	permits  []core.ServerID // servers for which a permit was asked
+	permit   func(core.Instance) core.Permit
 	backends *fakeBackends
 	table    *routes.Table
 	proxy    *proxy.Proxy
@@ -99,6 +101,10 @@
 		Timer: env.clock, Backends: env.backends, Picker: view, Limiter: limiter,
 		Budget: retry.New(retry.Config{Timer: env.clock, Ratio: 0.2, MinRetries: 64}), CurrentTable: func() *routes.Table { return env.table },
 		BorrowTokens: func(context.Context, core.WorkspaceID) bool { return false },
+		Permit: func(_ context.Context, i core.Instance) core.Permit {
+			env.permits = append(env.permits, i.Name)
+			return env.permit(i)
+		},
 	})
 	return env
 }
--- a/io/beacon/beacon.go
+++ b/io/beacon/beacon.go
@@ -1,6 +1,6 @@
 // Package beacon is the transport between entry hosts. It sends heartbeats
-// and requests for rate tokens as UDP datagrams, and copies of the tables of
-// package mirror over WebSocket.
+// and requests for rate tokens and permits as UDP datagrams, and copies of the
+// tables of package mirror over WebSocket.
 package beacon
 
 import (
@@ -32,9 +32,14 @@
 	// hosts to forward it to.
 	OnDigest func(gossip.Digest) []string
 	// OnTokenRequest removes up to want rate tokens of a workspace to lend them to
-	// another host, and returns how many. Run calls OnDigest and OnTokenRequest.
+	// another host, and returns how many.
 	OnTokenRequest func(w core.WorkspaceID, want float64) float64
-	Log            logrus.FieldLogger
+	// OnPermitRequest decides whether another host may send a request to a server.
+	OnPermitRequest func(core.PermitRequest) core.PermitReply
+	// OnLimitNotice handles what another host tells about a server's limit. Run
+	// calls OnDigest, OnTokenRequest, OnPermitRequest and OnLimitNotice.
+	OnLimitNotice func(core.LimitNotice)
+	Log           logrus.FieldLogger
 }
 
 // Transport sends and receives the datagrams of a host. It is safe for
@@ -44,8 +49,8 @@
 	socket *net.UDPConn
 
 	mu          sync.Mutex
-	lastRequest uint64                  // number of the last token request
-	pending     map[uint64]chan float64 // token requests without a reply yet, by number
+	lastRequest uint64                // number of the last request for tokens or a permit
+	pending     map[uint64]chan reply // requests without a reply yet, by number
 }
 
 // Listen opens the UDP socket of a beacon. The caller starts Run to receive
@@ -55,7 +60,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "beacon: cannot open UDP socket")
 	}
-	return &Transport{cfg: cfg, socket: socket, pending: make(map[uint64]chan float64)}, nil
+	return &Transport{cfg: cfg, socket: socket, pending: make(map[uint64]chan reply)}, nil
 }
 
 // Run receives and handles datagrams until the beacon is closed.
@@ -87,6 +92,8 @@
 		return b.handleDigest(raw[1:])
 	case kindTokenRequest, kindTokenReply:
 		return b.handleToken(kind, raw[1:], from)
+	case kindPermitRequest, kindPermitReply, kindLimitNotice:
+		return b.handlePermit(kind, raw[1:], from)
 	default:
 		return codes.New(codes.PeerKind, "beacon: datagram of unknown kind %d", kind)
 	}
--- a/io/beacon/token.go
+++ b/io/beacon/token.go
@@ -11,15 +11,18 @@
 	"azurering/core/codes"
 )
 
-// tokenTimeout is the timeout of a token request: about two round trips
-// between regions.
-const tokenTimeout = 60 * time.Millisecond
+// requestTimeout is the timeout of a request for tokens or a permit: about two
+// round trips between regions.
+const requestTimeout = 60 * time.Millisecond
 
 // Kinds of datagrams. The kind is the first byte.
 const (
-	kindDigest       = 'd'
-	kindTokenRequest = 'a'
-	kindTokenReply   = 'g'
+	kindDigest        = 'd'
+	kindTokenRequest  = 'a'
+	kindTokenReply    = 'g'
+	kindPermitRequest = 'p'
+	kindPermitReply   = 'q'
+	kindLimitNotice   = 'l'
 )
 
 // tokenWire is the encoded form of a token request or its reply. If a reply
@@ -35,38 +38,65 @@
 // and returns how many it granted. Errors carry PeerDown if the request cannot
 // be sent or gets no reply within 60 ms.
 func (b *Transport) RequestTokens(ctx context.Context, address string, w core.WorkspaceID, want float64) (float64, error) {
-	granted := make(chan float64, 1)
+	answer, err := b.request(ctx, address, func(number uint64) (byte, any) {
+		return kindTokenRequest, tokenWire{Number: number, Workspace: string(w), Tokens: want}
+	})
+	return answer.tokens, err
+}
+
+// reply is the content of a reply to a request for tokens or a permit.
+type reply struct {
+	tokens float64
+	permit core.PermitReply
+}
+
+// request sends the datagram that message returns for a number to the host with an
+// IP address, and waits for the reply with that number.
+func (b *Transport) request(ctx context.Context, address string, message func(number uint64) (kind byte, wire any)) (reply, error) {
+	replied := make(chan reply, 1)
 	b.mu.Lock()
 	b.lastRequest++
 	number := b.lastRequest
-	b.pending[number] = granted
+	b.pending[number] = replied
 	b.mu.Unlock()
 	defer func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		delete(b.pending, number)
 	}()
-	to := &net.UDPAddr{IP: net.ParseIP(address), Port: b.cfg.Port}
-	if err := b.sendToken(kindTokenRequest, tokenWire{Number: number, Workspace: string(w), Tokens: want}, to); err != nil {
-		return 0, err
+	kind, wire := message(number)
+	if err := b.sendWire(kind, wire, &net.UDPAddr{IP: net.ParseIP(address), Port: b.cfg.Port}); err != nil {
+		return reply{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	select {
-	case n := <-granted:
-		return n, nil
+	case r := <-replied:
+		return r, nil
 	case <-ctx.Done():
-		return 0, codes.Wrap(ctx.Err(), codes.PeerDown, "beacon: host %s did not reply to the token request", address)
+		return reply{}, codes.Wrap(ctx.Err(), codes.PeerDown, "beacon: host %s did not reply to a request of kind %c", address, kind)
 	}
 }
 
-func (b *Transport) sendToken(kind byte, w tokenWire, to *net.UDPAddr) error {
-	raw, err := cbor.Marshal(w)
+// deliver passes a reply to the request with a number. Replies that come too late
+// or twice are dropped.
+func (b *Transport) deliver(number uint64, r reply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if replied := b.pending[number]; replied != nil {
+		delete(b.pending, number)
+		replied <- r
+	}
+}
+
+// sendWire sends a datagram of a kind.
+func (b *Transport) sendWire(kind byte, wire any, to *net.UDPAddr) error {
+	raw, err := cbor.Marshal(wire)
 	if err != nil {
-		return codes.Wrap(err, codes.Internal, "beacon: cannot encode token message")
+		return codes.Wrap(err, codes.Internal, "beacon: cannot encode a message of kind %c", kind)
 	}
 	_, err = b.socket.WriteToUDP(append([]byte{kind}, raw...), to)
-	return codes.Wrap(err, codes.PeerDown, "beacon: cannot send token message to %s", to)
+	return codes.Wrap(err, codes.PeerDown, "beacon: cannot send a message of kind %c to %s", kind, to)
 }
 
 // handleToken handles a token request or a reply to one.
@@ -77,13 +107,8 @@
 	}
 	if kind == kindTokenRequest {
 		w.Tokens = b.cfg.OnTokenRequest(core.WorkspaceID(w.Workspace), w.Tokens)
-		return b.sendToken(kindTokenReply, w, from)
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if granted := b.pending[w.Number]; granted != nil {
-		delete(b.pending, w.Number)
-		granted <- w.Tokens
+		return b.sendWire(kindTokenReply, w, from)
 	}
+	b.deliver(w.Number, reply{tokens: w.Tokens})
 	return nil
 }
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -37,6 +37,7 @@
 	lapsed   metric.Int64Counter
 	limited  metric.Int64Counter
 	invalid  metric.Int64Counter
+	permits  metric.Int64Counter
 }
 
 // New returns metrics with a new Prometheus registry.
@@ -70,6 +71,7 @@
 		{&m.lapsed, "azurering_lapsed_requests", "Requests sent to servers whose entries had lapsed."},
 		{&m.limited, "azurering_limited_requests", "Requests sent to servers that were known to name a limit."},
 		{&m.invalid, "azurering_invalid_limits", "Answers whose limit of requests per second cannot be used."},
+		{&m.permits, "azurering_permits", "Requests for permits to use servers that name a limit, by result."},
 	}
 	for _, c := range counters {
 		if *c.counter, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.help)); err != nil {
@@ -108,6 +110,12 @@
 // CountInvalidLimit counts an answer whose limit cannot be used.
 func (m *Metrics) CountInvalidLimit() { m.invalid.Add(context.Background(), 1) }
 
+// CountPermit counts a permit that this host asked for, of itself or of another
+// host.
+func (m *Metrics) CountPermit(result string) {
+	m.permits.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 // CountStoreOperation counts an operation on the platform's store.
 func (m *Metrics) CountStoreOperation(operation string, code codes.Code) {
 	m.store.Add(context.Background(), 1, metric.WithAttributes(
