soak: let servers name limits, and check what they get

The soak had no servers that name a limit. They now name one or two figures for 7 s or more each, drawn apart from the other faults so that the seeds keep their meaning, and the checker counts the users' bound from what the servers see: hosts from half a second after their first response that named it, without those that were disturbed or stopped within 3 s.

--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -23,9 +23,10 @@
 	retryRatio     = 0.2  // retries per request
 	retryAllowance = 64.0 // retries beyond the ratio per retryWindow
 	retryWindow    = 10 * time.Second
-	drainDelay     = 2 * time.Second // for hosts to learn that a server drains
-	applyDelay     = 2 * time.Second // for hosts to apply a published version
-	recoveryTime   = 3 * time.Second // for a host to reconnect after a fault
+	drainDelay     = 2 * time.Second        // for hosts to learn that a server drains
+	applyDelay     = 2 * time.Second        // for hosts to apply a published version
+	recoveryTime   = 3 * time.Second        // for a host to reconnect after a fault
+	limitNotice    = 500 * time.Millisecond // for a host to obey a limit after a response named it
 	// maxDenied bounds the requests with a valid key that are refused as
 	// unauthorized.
 	maxDenied = 5
@@ -77,6 +78,7 @@
 	if checkTimes {
 		checker.checkDrains()
 		checker.checkDenied()
+		checker.checkLimits()
 	}
 	return checker.violations
 }
@@ -303,3 +305,49 @@
 		c.addViolation("%d requests with a valid key were refused as unauthorized", n)
 	}
 }
+
+// checkLimits checks the requests to servers that name limits. Requests of a host
+// count from limitNotice after its first response that named one, unless the host
+// was disturbed, or stopped, shortly before.
+func (c *checker) checkLimits() {
+	c.cluster.mu.Lock()
+	backends := make(map[string]*backend)
+	for id, b := range c.cluster.allBackends {
+		backends[id] = b
+	}
+	c.cluster.mu.Unlock()
+	for id, b := range backends {
+		limits := b.Limits()
+		if len(limits) == 0 || b.linkDegraded.Load() {
+			continue
+		}
+		told := make(map[int]time.Time) // by host
+		for _, a := range c.attempts {
+			if a.server != id || a.sentAt.Before(limits[0].At) {
+				continue
+			}
+			if t, ok := told[a.host]; !ok || a.endedAt.Before(t) {
+				told[a.host] = a.endedAt
+			}
+		}
+		var counted []time.Time
+		for _, r := range c.arrivals {
+			a := c.attemptsByID[r.ID]
+			if r.Server != id || a == nil || c.disrupted(a.host, r.At, r.At) || c.stopped(a.host, r.At) {
+				continue
+			}
+			if t, ok := told[a.host]; ok && r.At.After(t.Add(limitNotice)) {
+				counted = append(counted, r.At)
+			}
+		}
+		for _, v := range stand.LimitViolations(limits, counted, 0) {
+			c.addViolation("server %s, limits %v: %s", id, limits, v)
+		}
+	}
+}
+
+// stopped reports whether a host was stopped as planned less than recoveryTime
+// before a time.
+func (c *checker) stopped(host int, at time.Time) bool {
+	return slices.ContainsFunc(c.cluster.hosts[host].stops(), func(d disruption) bool { return d.overlaps(at, at) })
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -52,6 +52,10 @@
 	inject func(c *cluster, e event)
 }
 
+// minLimitTime is how long a server names a limit at least: the time until its bound
+// holds, and one window.
+const minLimitTime = 7 * time.Second
+
 var storeFaults = []stand.Fault{stand.FaultHang, stand.FaultUnavailable, stand.FaultThrottle, stand.FaultReset, stand.FaultLostResponse}
 
 var linkModes = []linkMode{linkSlow, linkDropFromDialer, linkDropFromListener, linkDropAll, linkRefuse}
@@ -71,6 +75,7 @@
 	}},
 	{"stop", 3, scopePlanned, func(c *cluster, e event) {
 		h := c.hostOf(e)
+		defer h.beginStop()()
 		h.terminate(syscall.SIGTERM)
 		time.Sleep(e.duration / 4)
 		c.restart(h)
@@ -108,7 +113,11 @@
 	{"store-forget", 2, scopeStore, func(c *cluster, _ event) { c.store.Compact() }},
 	{"store-link", 2, scopeHost, func(c *cluster, e event) { degradeLink(c.hostOf(e).storeLink, e) }},
 	{"caller-link", 2, scopeHost, func(c *cluster, e event) { degradeLink(c.hostOf(e).callerLink, e) }},
-	{"server-link", 3, scopeServers, func(c *cluster, e event) { degradeLink(c.backendOf(e).link, e) }},
+	{"server-link", 3, scopeServers, func(c *cluster, e event) {
+		b := c.backendOf(e)
+		b.linkDegraded.Store(true)
+		degradeLink(b.link, e)
+	}},
 	{"server-crash", 2, scopeServers, func(c *cluster, e event) { c.replaceBackend(c.backendOf(e), e) }},
 	{"server-lose", 2, scopeServers, func(c *cluster, e event) {
 		b := c.backendOf(e)
@@ -142,6 +151,14 @@
 		time.Sleep(e.duration)
 		c.store.SetEvacuated(d, false)
 	}},
+	{"limit", 0, scopePlanned, func(c *cluster, e event) { // see newLimitSchedule
+		b := c.backendOf(e)
+		for i := range 1 + e.choice%2 {
+			b.SetLimit(fmt.Sprintf("%.1f", 1+float64((e.choice/2+37*i)%150)/10))
+			time.Sleep(minLimitTime + e.duration/2)
+		}
+		b.SetLimit("")
+	}},
 }
 
 // degradeLink sets a faulty mode on a link for the event's duration. It then
@@ -176,6 +193,18 @@
 	return events
 }
 
+// newLimitSchedule returns events in which servers name limits. They are drawn by
+// themselves, so that the seeds of newSchedule keep their meaning.
+func newLimitSchedule(r *rand.Rand, duration time.Duration) []event {
+	var events []event
+	for at := time.Second + time.Duration(r.Int64N(int64(time.Second))); at < duration; at += 3*time.Second + time.Duration(r.Int64N(int64(3*time.Second))) {
+		events = append(events, event{
+			at: at, fault: "limit", pick: r.IntN(1 << 16), choice: r.IntN(1 << 16), duration: time.Duration(r.Int64N(int64(4 * time.Second))),
+		})
+	}
+	return events
+}
+
 // runSchedule injects the faults of a schedule and waits until all have ended.
 func (c *cluster) runSchedule(ctx context.Context, events []event) {
 	var wg sync.WaitGroup
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,10 +10,12 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -107,7 +109,8 @@
 	c := newCluster(t, binary, envInt(t, "SOAK_HOSTS", 9))
 	c.awaitReady()
 	c.start = time.Now()
-	events := newSchedule(rand.New(rand.NewPCG(seed, 1)), duration)
+	events := append(newSchedule(rand.New(rand.NewPCG(seed, 1)), duration), newLimitSchedule(rand.New(rand.NewPCG(seed, 1<<32)), duration)...)
+	slices.SortFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	ctx, cancel := context.WithCancel(t.Context())
 	attempts := &attemptLog{}
 	var callers sync.WaitGroup
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -53,6 +54,27 @@
 	stopExpected   bool // the test has ended the process
 	exited         chan struct{}
 	unexpectedExit string // how the process ended by itself; empty if it did not
+	planned        []disruption
+}
+
+// beginStop records that a planned stop begins, and when end is called.
+func (h *host) beginStop() (end func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := len(h.planned)
+	h.planned = append(h.planned, disruption{scope: scopePlanned, from: time.Now()})
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.planned[n].to = time.Now()
+	}
+}
+
+// stops returns the planned stops of the host.
+func (h *host) stops() []disruption {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]disruption(nil), h.planned...)
 }
 
 // start starts the process unless it runs.
@@ -126,6 +148,7 @@
 	*stand.Server
 	id, service, domain string
 	link                *link
+	linkDegraded        atomic.Bool // its link was degraded at some time, which bunches requests
 }
 
 // cluster is the deployment under test: store, hosts and backend servers.
