retry: test the budget in the fleets of the users' grown deployments

With 81 hosts and an extra of 202 the part of a host is 0.87 of a retry. The test now also plays 8, 76 and 81 hosts with the extras of the site files, with little and without demand, and holds. It would not with more hosts than 0.65 of the extra; the site files have 0.14 to 0.43.

--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,9 +14,21 @@
 )
 
 // When servers fail, every host wants as many retries as it can get. In no
-// window may all hosts together exceed the budget.
+// window may all hosts together exceed the budget, in small fleets and in those in
+// which the part of a host is less than one retry.
 func TestHostsTogetherStayInsideBudget(t *testing.T) {
-	const hosts, ratio, extra, window = 12, 0.2, 64.0, 10 * time.Second
+	for _, c := range []struct {
+		hosts  int
+		extra  float64
+		demand float64 // probability that a host gets a request in 10 ms of a burst
+	}{{12, 64, 0.1}, {8, 56, 0.1}, {81, 202, 0.1}, {81, 202, 0.001}, {76, 192, 0}} {
+		t.Run(fmt.Sprintf("%d hosts, demand %v", c.hosts, c.demand), func(t *testing.T) { checkBudget(t, c.hosts, c.extra, c.demand) })
+	}
+}
+
+func checkBudget(t *testing.T, hosts int, extra, demand float64) {
+	t.Helper()
+	const ratio, window = 0.2, 10 * time.Second
 	clock := timer.NewManual()
 	random := rand.New(rand.NewPCG(1, 2))
 	budgets := make([]*retry.Budget, hosts)
@@ -31,7 +44,7 @@
 		// Requests come in bursts. Each host takes all the retries it can get.
 		burst := clock.Now()/(3*time.Second)%2 == 0
 		for _, b := range budgets {
-			if burst && random.Float64() < 0.1 {
+			if burst && random.Float64() < demand {
 				b.Deposit(core.ServiceID("s"))
 				n++
 			}
