gossip, picker: keep hosts that start together from crowding a cold server

A cold server accepts a few requests a second from all hosts together, so only the first hosts of its failure domain send it any. A host that had just started knew no others and took itself for the first: 12 hosts that started together sent 12 requests within a second, where 2.5 a second are accepted and at most 8 may come.

Hosts whose first heartbeat may be on its way now count in that order, and a host that has not read the list of hosts sends nothing to cold servers. TestSilentHostIsNotAlive follows the method's new name and checks in addition that there are no hosts before the list.

--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -129,7 +129,7 @@
 func newView(cfg Config, t core.Timer, w *clusterState, members *gossip.Members, r *recorder, c *checker) *picker.Picker {
 	view := picker.New(picker.Config{
 		Timer: t, Host: cfg.Place.Name, Domain: cfg.Place.Domain, Region: cfg.Place.Region, Regions: cfg.Place.Regions,
-		DomainHosts: members.ReadyHosts, Service: w.service, RequestCheck: c.check,
+		DomainHosts: members.MaybeReadyHosts, Service: w.service, RequestCheck: c.check,
 		OnLimit: r.logLimit,
 	})
 	c.view, w.view = view, view
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -370,18 +370,23 @@
 	return list
 }
 
-// ReadyHosts returns the names of the live and ready hosts of a domain, sorted.
-// This host always counts as ready.
-func (v *Members) ReadyHosts(d core.DomainID) []core.HostID {
+// MaybeReadyHosts returns the names of the hosts of a domain that may be serving
+// callers, sorted: the live and ready ones, those that were listed so recently that
+// their first heartbeat may be on its way, and this host. It returns none until the
+// store's list has been read, as this host may know only a part of the others.
+func (v *Members) MaybeReadyHosts(d core.DomainID) []core.HostID {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.listed {
+		return nil
+	}
 	var names []core.HostID
 	if v.cfg.Self.Domain == d {
 		names = append(names, v.cfg.Self.Host)
 	}
 	for _, p := range v.peers {
-		if p.Domain == d && p.Ready && v.isAlive(now, p) {
+		if p.Domain == d && (p.Ready && v.isAlive(now, p) || v.isNew(now, p)) {
 			names = append(names, p.Host)
 		}
 	}
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -44,10 +44,12 @@
 	v := view(clock)
 	receive(v, beat("a", 1, 1))
 	require.Equal(t, []core.HostID{"a"}, alive(v))
-	require.Equal(t, []core.HostID{"a", "b"}, v.ReadyHosts("d"))
+	require.Empty(t, v.MaybeReadyHosts("d"), "the list has not been read")
+	v.AddListed(nil)
+	require.Equal(t, []core.HostID{"a", "b"}, v.MaybeReadyHosts("d"))
 	clock.Advance(2 * time.Second)
 	require.Empty(t, alive(v))
-	require.Equal(t, []core.HostID{"b"}, v.ReadyHosts("d"))
+	require.Equal(t, []core.HostID{"b"}, v.MaybeReadyHosts("d"))
 }
 
 // A partitioned host still admits requests with its share of the rates. If
--- a/core/pacer/fleet_test.go
+++ b/core/pacer/fleet_test.go
@@ -112,7 +112,7 @@
 	h.members.AddListed(listed)
 	h.picker = picker.New(picker.Config{
 		Timer: f.clock, Host: h.HostID, Domain: h.domain, Region: simRegions[h.domain], Regions: simRegions,
-		DomainHosts: h.members.ReadyHosts, Service: func(core.ServiceID) *core.ServiceConfig { return &core.ServiceConfig{} },
+		DomainHosts: h.members.MaybeReadyHosts, Service: func(core.ServiceID) *core.ServiceConfig { return &core.ServiceConfig{} },
 		RequestCheck: func(core.Instance) {},
 	})
 	for _, s := range f.servers {
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -39,9 +39,9 @@
 	Domain  core.DomainID
 	Region  core.RegionID
 	Regions map[core.DomainID]core.RegionID
-	// DomainHosts returns the live and ready hosts of a failure domain, this
-	// host always included in its own, in an order that is the same on every
-	// host.
+	// DomainHosts returns the hosts of a failure domain that may be serving
+	// callers, this host included in its own, in an order that is the same on every
+	// host. It returns none while this host does not know the others.
 	DomainHosts func(core.DomainID) []core.HostID
 	// Service returns the configuration of a service, or nil if there is
 	// none.
