--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -403,3 +403,29 @@
 		})
 	}
 }
+
+// Guards against hosts that together keep more connections to a server than it
+// accepts: each keeps a few idle ones only. The least that a deployment of the users
+// allows is 20 for each host.
+func TestFewConnectionsStayIdle(t *testing.T) {
+	const atOnce, maxIdle = 30, 4
+	release := make(chan struct{})
+	s, opened := startServer(t, func(c net.Conn, r *http.Request) bool {
+		<-release
+		return echo(c, r)
+	})
+	p := newPool()
+	done := make(chan error, atOnce)
+	for i := range atOnce {
+		go func() {
+			_, _, err := exchange(p, s, call(fmt.Sprint(i)))
+			done <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return opened.Load() == atOnce }, 10*time.Second, time.Millisecond)
+	close(release)
+	for range atOnce {
+		require.NoError(t, <-done)
+	}
+	require.Eventually(t, func() bool { return p.NumConns() == maxIdle }, 10*time.Second, time.Millisecond)
+}
