proxy, picker: send requests elsewhere when a coordinator is silent

A request waits for a server for an eighth of its latency target, and the coordinator of a server with a limit may take 60 ms to be found silent. A request that had waited longer was refused although other servers had room. After that time, servers that name a limit are left out of the choice instead. TestSilentCoordinatorDoesNotRefuseRequests failed with 503 before.

--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -44,6 +44,8 @@
 	Homes     []core.RegionID
 	HomesOnly bool            // only servers in Homes may serve the request
 	Exclude   []core.ServerID // servers that must not be chosen again
+	// Unlimited excludes servers that name a limit.
+	Unlimited bool
 	// Sticky reports whether servers are faster for objects that they have
 	// handled.
 	Sticky bool
@@ -209,7 +211,7 @@
 	ownerSeen := false // the owner of the object was considered
 	saturated := req.Sticky && v.isSaturated(now, req.Service)
 	for _, c := range list {
-		if now < c.fullUntil {
+		if now < c.fullUntil || req.Unlimited && c.limit.Named {
 			continue // the next candidate takes its place as the owner
 		}
 		if c.cold {
--- a/core/proxy/limit_test.go
+++ b/core/proxy/limit_test.go
@@ -90,3 +90,22 @@
 	}
 	require.Greater(t, len(waits), 10)
 }
+
+// Guards against a request that is refused because the coordinator of one server is
+// silent, although other servers have room: waiting for it takes longer than the
+// request may wait for a server.
+func TestSilentCoordinatorDoesNotRefuseRequests(t *testing.T) {
+	env := newTestEnv(limited(200), limited(200), ok)
+	env.permit = func(core.Instance) core.Permit {
+		env.clock.Advance(100 * time.Millisecond)
+		return core.Permit{Wait: 250 * time.Millisecond}
+	}
+	for i := range 9 { // until two servers have named a limit
+		env.serve("/l/x", func(c *core.Call) { c.RequestID = strconv.Itoa(i) })
+	}
+	env.clock.Advance(time.Second)
+	for i := range 20 {
+		reply, record := env.serve("/l/x", func(c *core.Call) { c.RequestID = strconv.Itoa(i) })
+		require.Equal(t, 200, reply.Status, record.Reason)
+	}
+}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -230,10 +230,11 @@
 }
 
 // choose chooses a server. It passes over those that name a limit and for which no
-// permit is granted, as long as it asks for permits before until.
+// permit is granted. After until it asks for no more permits.
 func (r *request) choose(ctx context.Context, until time.Duration) (*picker.Lease, error) {
+	ask := r.ask()
 	for {
-		lease, err := r.cfg.Picker.Acquire(r.ask())
+		lease, err := r.cfg.Picker.Acquire(ask)
 		if err != nil || !lease.Limit.Named {
 			return lease, err
 		}
@@ -243,9 +244,8 @@
 			return lease, nil
 		}
 		lease.Decline(permit.Wait)
-		if r.cfg.Timer.Now() > until {
-			return nil, codes.New(codes.NoCapacity, "proxy: servers of service %s are at their limits", r.record.Service)
-		}
+		ask = r.ask()
+		ask.Unlimited = r.cfg.Timer.Now() > until
 	}
 }
 
