pacer: keep news of a limit from getting younger on their way

The age of what a host knows of a limit did not include the time that a message took. Such news win over newer answers of the server, so that its limit might not have ended for as long as hosts ask. Found by reading, before any landing.

News now count as older by the longest time that a message may take.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -24,6 +24,10 @@
 	// coordinator, or another start of the server: a part of the time until the
 	// next heartbeats.
 	otherViewWait = 100 * time.Millisecond
+	// maxTransit is the time that a message may take: the timeout of a request. News
+	// in it count as older by that much, so that they never get younger on their way
+	// and cannot replace newer answers of the server.
+	maxTransit = 60 * time.Millisecond
 )
 
 // Result is the result of asking for a permit.
@@ -168,5 +172,5 @@
 	if !l.Known {
 		return picker.Limit{}
 	}
-	return picker.Limit{Named: l.Named, PerSecond: l.PerSecond, HeardAt: max(p.cfg.Timer.Now()-l.Age, 1)}
+	return picker.Limit{Named: l.Named, PerSecond: l.PerSecond, HeardAt: max(p.cfg.Timer.Now()-l.Age-maxTransit, 1)}
 }
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -21,6 +21,7 @@
 	pacer       *pacer.Pacer
 	coordinator core.HostID
 	peers       map[core.HostID]*testHost
+	transit     time.Duration // of a message from or to this host
 	results     []pacer.Result
 }
 
@@ -43,6 +44,8 @@
 			Coordinator: func(core.Instance) (core.HostID, string) { return h.coordinator, string(h.coordinator) },
 			Request: func(_ context.Context, address string, r core.PermitRequest) (core.PermitReply, error) {
 				if peer := h.peers[core.HostID(address)]; peer != nil {
+					clock.Advance(h.transit)
+					defer clock.Advance(h.transit)
 					return peer.pacer.Grant(r), nil
 				}
 				return core.PermitReply{}, errors.New("no reply")
@@ -183,3 +186,24 @@
 		require.False(t, h.picker.Limit(server).Named, name)
 	}
 }
+
+// Guards against news of a limit that gets younger with each message: it would win
+// over newer answers of the server, and the limit would never end.
+func TestNewsOfALimitDoNotGetYounger(t *testing.T) {
+	clock, hosts := newTestHosts(20, "coordinator", "asks")
+	heard := clock.Now()
+	const way = 12 * time.Millisecond
+	asks := hosts["asks"]
+	asks.transit = way
+	for range 200 {
+		asks.permit()
+		clock.Advance(20 * time.Millisecond)
+		for _, m := range hosts["coordinator"].pacer.Refresh() {
+			clock.Advance(way)
+			asks.pacer.Notice(m.Notice)
+		}
+	}
+	for name, h := range hosts {
+		require.LessOrEqual(t, h.picker.Limit(server).HeardAt, heard, name)
+	}
+}
--- a/io/beacon/permit.go
+++ b/io/beacon/permit.go
@@ -42,10 +42,12 @@
 	return core.ServerLimit{Known: true, Named: w.Named, PerSecond: w.PerSecond, Age: duration(w.Age)}
 }
 
-// duration returns a time from a message, limited to a range that can be added to
-// any other time.
+// maxDuration bounds the times in messages, so that they can be added to others.
+const maxDuration = 365 * 24 * time.Hour
+
+// duration returns a time from a message, between 0 and maxDuration.
 func duration(milliseconds int64) time.Duration {
-	return time.Duration(min(max(milliseconds, 0), time.Hour.Milliseconds())) * time.Millisecond
+	return time.Duration(min(max(milliseconds, 0), maxDuration.Milliseconds())) * time.Millisecond
 }
 
 // RequestPermit asks the host with an IP address for a permit. Errors carry
