--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -201,9 +201,10 @@
 // cold, or that is the owner of the object (for requests that are not sticky:
 // any server) and has a free slot. Otherwise it returns the one with the
 // earliest expected answer, or nil if none is expected to answer within
-// req.MaxLatency. Servers at their limits are passed over. A cold candidate is only listed when this host may warm it.
-// The owner is the first candidate that is not cold; the others are slower for
-// the object and only used while the service has spare slots.
+// req.MaxLatency. Servers at their limits are passed over. A cold candidate is
+// only listed when this host may warm it. The owner is the first candidate that
+// is neither cold nor at its limit; the others are slower for the object and only
+// used while the service has spare slots.
 func (v *Picker) pick(now time.Duration, list []candidate, req Request) *server {
 	var best *server
 	shortest := req.MaxLatency
