pacer, gossip: grant a part of a limit while another coordinator may be cut off

A host that takes over from a coordinator that it no longer hears granted the whole limit of a server. If the coordinator was only cut off from it, and both reached the server, the server got the limit from each side: with 8 requests a second named, up to 64 in 4 s while a failure domain was cut off, up to 55 while a single host was, where 53 may come. The users' bound leaves out hosts that are cut off, so callers and the users' checks saw nothing; the README promises the rate also while domains are cut off.

A host now grants four tenths of the limit while one that comes before it in the order of coordinators is silent, until 30 s after that one's last heartbeat: the time for which rates of workspaces are kept for a silent host. A host that said that it leaves is not waited for. A line event=coordinate tells when a host begins or ends to coordinate a server, and whether that is contested.

The new cases that lose 10% and 30% of all messages between hosts passed before and after.

--- a/app/edge/permit.go
+++ b/app/edge/permit.go
@@ -19,13 +19,18 @@
 			h.metrics.CountPermit(string(result))
 			h.cfg.Log.WithFields(logrus.Fields{"event": "permit", "server": i.Name, "result": result}).Debug("edge: asked for a permit")
 		},
+		OnCoordination: func(c pacer.Coordination) {
+			h.cfg.Log.WithFields(logrus.Fields{
+				"event": "coordinate", "server": c.Server, "active": c.Active, "contested": c.Contested,
+			}).Info("edge: coordination of a server with a limit changed")
+		},
 	})
 }
 
 // coordinator returns the host that grants the requests to a server: one of the
 // server's failure domain, where most of its requests come from, else one of its
 // region, else any.
-func (h *host) coordinator(i core.Instance) (core.HostID, string) {
+func (h *host) coordinator(i core.Instance) core.Coordinator {
 	regions := h.cfg.Place.Regions
 	return h.members.Coordinator(string(i.Name), func(d core.DomainID) int {
 		switch {
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -68,6 +68,42 @@
 	require.Empty(t, v.Totals().Hosts)
 }
 
+// Guards against a host that takes the place of one that is only cut off and
+// decides as if it were the only one, and against one that never does so for a host
+// that has left or has been silent for long.
+func TestCoordinatorIsContestedWhileAnEarlierOneIsSilent(t *testing.T) {
+	clock := timer.NewManual()
+	v := view(clock)
+	own := gossip.Heartbeat{Host: "b", Domain: "d", Address: "10.0.0.2", Ready: true}
+	distance := func(d core.DomainID) int { return map[core.DomainID]int{"near": 0, "d": 1, "far": 2}[d] }
+	coordinator := func() core.Coordinator {
+		v.Tick(own)
+		return v.Coordinator("server", distance)
+	}
+	self := core.Coordinator{Host: "b", Address: "10.0.0.2"}
+	contested := self
+	contested.Contested = true
+	near, far := beat("n", 1, 1), beat("f", 1, 1)
+	near.Domain, far.Domain = "near", "far"
+
+	receive(v, far)
+	require.Equal(t, self, coordinator())
+	receive(v, near)
+	require.Equal(t, core.Coordinator{Host: "n", Address: "10.0.0.n"}, coordinator())
+	clock.Advance(5 * time.Second)
+	require.Equal(t, contested, coordinator(), "it may only be cut off")
+	clock.Advance(30 * time.Second)
+	require.Equal(t, self, coordinator())
+
+	near.Seq++
+	receive(v, near)
+	near.Seq, near.Ready = near.Seq+1, false
+	receive(v, near)
+	require.Equal(t, self, coordinator())
+	clock.Advance(5 * time.Second)
+	require.Equal(t, self, coordinator(), "it has left")
+}
+
 // Datagrams can arrive out of order: an older heartbeat must not replace a
 // newer one. A restarted host counts from 1 again and must not be ignored.
 func TestLateHeartbeatsAreIgnored(t *testing.T) {
--- a/core/gossip/source.go
+++ b/core/gossip/source.go
@@ -88,31 +88,50 @@
 	}
 }
 
-// Coordinator returns the name and the address of the host that decides for all
-// hosts about a key: of the live and ready hosts with the smallest distance, the
-// one with the lowest hash for the key. Hosts with the same view return the same
-// host. If no host is ready, that is this one.
-func (v *Members) Coordinator(key string, distance func(core.DomainID) int) (host core.HostID, address string) {
+// Coordinator returns the host that decides for all hosts about a key: of the live
+// and ready hosts with the smallest distance, the one with the lowest hash for the
+// key. Hosts with the same view return the same host. If no host is ready, that is
+// this one.
+func (v *Members) Coordinator(key string, distance func(core.DomainID) int) core.Coordinator {
 	now := v.cfg.Timer.Now()
+	rank := func(b *Heartbeat) ranked {
+		return ranked{Heartbeat: b, distance: distance(b.Domain), hash: xxhash.Sum64String(key + "/" + string(b.Host))}
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	nearest, lowest := 0, uint64(0)
-	consider := func(b *Heartbeat) {
-		d, rank := distance(b.Domain), xxhash.Sum64String(key+"/"+string(b.Host))
-		if host == "" || d < nearest || d == nearest && rank < lowest {
-			host, address, nearest, lowest = b.Host, b.Address, d, rank
-		}
-	}
+	var first, silent ranked
 	if v.self.Ready {
-		consider(&v.self)
+		first = rank(&v.self)
 	}
 	for _, p := range v.peers {
-		if p.Ready && v.isAlive(now, p) {
-			consider(&p.Heartbeat)
+		switch r := rank(&p.Heartbeat); {
+		case p.Ready && v.isAlive(now, p):
+			if r.before(first) {
+				first = r
+			}
+		case (p.Ready || !p.seen) && !v.isAlive(now, p) && v.mayAdmit(now, p):
+			if r.before(silent) {
+				silent = r
+			}
 		}
 	}
-	if host == "" {
-		return v.self.Host, v.self.Address
+	if first.Heartbeat == nil {
+		return core.Coordinator{Host: v.self.Host, Address: v.self.Address}
+	}
+	return core.Coordinator{Host: first.Host, Address: first.Address, Contested: silent.Heartbeat != nil && silent.before(first)}
+}
+
+// ranked is a host and its place in the order in which hosts decide about a key.
+type ranked struct {
+	*Heartbeat
+	distance int
+	hash     uint64
+}
+
+// before reports whether r decides rather than other, which may be empty.
+func (r ranked) before(other ranked) bool {
+	if other.Heartbeat == nil || r.distance != other.distance {
+		return other.Heartbeat == nil || r.distance < other.distance
 	}
-	return host, address
+	return r.hash < other.hash
 }
--- a/core/pacer/buckets.go
+++ b/core/pacer/buckets.go
@@ -22,6 +22,10 @@
 	// minRate is the lowest rate that is granted, in requests per second. A server
 	// that gets nothing cannot tell that its limit has ended.
 	minRate = 0.25
+	// contestedShare is the part of a limit that is granted while another coordinator
+	// may be cut off. It grants the whole limit, and the bound of the users is one and
+	// a half times that; the rest covers requests on their way.
+	contestedShare = 0.4
 	// minWait is the shortest time until a host may ask again. It bounds the
 	// messages to a coordinator.
 	minWait = 20 * time.Millisecond
@@ -35,18 +39,21 @@
 // buckets holds a token bucket for each server that this host coordinates. It is
 // safe for concurrent use.
 type buckets struct {
-	timer core.Timer
+	timer    core.Timer
+	onChange func(Coordination)
 
 	mu       sync.Mutex
 	servers  map[core.ServerID]*bucket
-	retained time.Duration // time of the last call of retain; 0 before the first
+	retained time.Duration  // time of the last call of retain; 0 before the first
+	changes  []Coordination // not reported yet
 }
 
 type bucket struct {
-	server  core.Instance
-	grants  time.Duration // when this host begins to grant
-	tokens  float64       // one allows one request
-	updated time.Duration // time of the last refill
+	server    core.Instance
+	contested bool          // as of the last request
+	grants    time.Duration // when this host begins to grant
+	tokens    float64       // one allows one request
+	updated   time.Duration // time of the last refill
 
 	noticed    picker.Limit  // limit of the last notice
 	noticeAt   time.Duration // time of the last notice
@@ -56,19 +63,28 @@
 // take takes a token for one request to a server that accepts perSecond requests
 // per second, and reports whether there was one. If not, wait is the time until
 // there may be one. The first call for a server makes this host its coordinator.
-func (s *buckets) take(i core.Instance, perSecond float64) (wait time.Duration, ok bool) {
+// Contested is that of core.Coordinator.
+func (s *buckets) take(i core.Instance, perSecond float64, contested bool) (wait time.Duration, ok bool) {
 	now := s.timer.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlockAndReport()
 	s.dropAfterPause(now)
 	b := s.servers[i.Name]
 	if b == nil || b.server.StartedMs != i.StartedMs {
-		b = &bucket{server: i, grants: now + handoverTime, updated: now + handoverTime}
+		b = &bucket{server: i, contested: contested, grants: now + handoverTime, updated: now + handoverTime}
 		s.servers[i.Name] = b
+		s.addChange(b, true)
+	}
+	if b.contested != contested {
+		b.contested = contested
+		s.addChange(b, true)
 	}
 	if now < b.grants {
 		return max(b.grants-now, minWait), false
 	}
+	if contested {
+		perSecond *= contestedShare
+	}
 	rate := max(perSecond, minRate)
 	b.tokens = min(b.tokens+(now-b.updated).Seconds()*rate, max(1, rate*burstTime.Seconds()))
 	b.updated = now
@@ -85,12 +101,13 @@
 func (s *buckets) retain(keep func(core.Instance) bool) {
 	now := s.timer.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlockAndReport()
 	s.dropAfterPause(now)
 	s.retained = now
 	for name, b := range s.servers {
 		if !keep(b.server) {
 			delete(s.servers, name)
+			s.addChange(b, false)
 		}
 	}
 }
@@ -101,7 +118,7 @@
 func (s *buckets) due(limit func(core.Instance) picker.Limit) []core.Instance {
 	now := s.timer.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlockAndReport()
 	var list []core.Instance
 	for name, b := range s.servers {
 		current := limit(b.server)
@@ -117,6 +134,7 @@
 		}
 		if b.endNotices++; b.endNotices >= maxEndNotices {
 			delete(s.servers, name)
+			s.addChange(b, false)
 		}
 	}
 	return list
@@ -125,8 +143,26 @@
 // dropAfterPause ends the coordination of all servers if retain is overdue: the
 // process was paused, and another host may have taken over meanwhile.
 func (s *buckets) dropAfterPause(now time.Duration) {
-	if s.retained > 0 && now > s.retained+maxPause {
-		clear(s.servers)
+	if s.retained == 0 || now <= s.retained+maxPause {
+		return
+	}
+	for _, b := range s.servers {
+		s.addChange(b, false)
+	}
+	clear(s.servers)
+}
+
+func (s *buckets) addChange(b *bucket, active bool) {
+	s.changes = append(s.changes, Coordination{Server: b.server.Name, Active: active, Contested: b.contested})
+}
+
+// unlockAndReport unlocks s.mu and reports the changes since it was locked.
+func (s *buckets) unlockAndReport() {
+	changes := s.changes
+	s.changes = nil
+	s.mu.Unlock()
+	for _, c := range changes {
+		s.onChange(c)
 	}
 }
 
--- a/core/pacer/fleet_test.go
+++ b/core/pacer/fleet_test.go
@@ -46,6 +46,8 @@
 	hosts   []*simHost
 	servers []core.Instance
 	limit   func(at time.Duration) float64 // negative for none
+	cut     func(a, b *simHost) bool       // whether no message passes between two hosts; nil for never
+	loss    float64                        // fraction of all messages between hosts that is lost
 	pending []delivery
 	arrived []arrival // at server 0
 	refused int
@@ -120,7 +122,7 @@
 	}
 	h.pacer = pacer.New(pacer.Config{
 		Timer: f.clock, Host: h.HostID, Picker: h.picker,
-		Coordinator: func(i core.Instance) (core.HostID, string) {
+		Coordinator: func(i core.Instance) core.Coordinator {
 			return h.members.Coordinator(string(i.Name), func(d core.DomainID) int {
 				if d == i.Domain {
 					return 0
@@ -130,13 +132,18 @@
 		},
 		Request: func(_ context.Context, address string, r core.PermitRequest) (core.PermitReply, error) {
 			for _, other := range f.hosts {
-				if string(other.HostID) == address && !other.down && !other.frozen {
-					return other.pacer.Grant(r), nil
+				if string(other.HostID) != address || f.isLost(h, other) || other.down || other.frozen {
+					continue
 				}
+				reply := other.pacer.Grant(r)
+				if f.isLost(other, h) {
+					break
+				}
+				return reply, nil
 			}
 			return core.PermitReply{}, errors.New("no reply")
 		},
-		OnResult: func(core.Instance, pacer.Result) {},
+		OnResult: func(core.Instance, pacer.Result) {}, OnCoordination: func(pacer.Coordination) {},
 	})
 	h.nextBeat = 0
 }
@@ -145,6 +152,11 @@
 	return gossip.Heartbeat{Host: h.HostID, Domain: h.domain, Address: string(h.HostID), StartedMs: h.boots, Ready: !h.leaving}
 }
 
+// isLost reports whether a message between two hosts does not arrive.
+func (f *fleet) isLost(from, to *simHost) bool {
+	return f.cut != nil && f.cut(from, to) || f.loss > 0 && f.random.Float64() < f.loss
+}
+
 func (f *fleet) later(after time.Duration, do func()) {
 	f.pending = append(f.pending, delivery{at: f.clock.Now() + after, do: do})
 }
@@ -184,13 +196,13 @@
 
 func (f *fleet) beat(h *simHost) {
 	for _, m := range h.members.Tick(f.heartbeat(h)) {
-		f.deliver(m.Digest, m.To)
+		f.deliver(h, m.Digest, m.To)
 	}
 	h.picker.SetRemoteInFlight(h.members.Totals().InFlight)
 	h.picker.Tick()
 	for _, m := range h.pacer.Refresh() {
 		for _, other := range f.hosts {
-			if other == h || m.To != "" && m.To != string(other.HostID) || f.random.Float64() < noticeLoss {
+			if other == h || m.To != "" && m.To != string(other.HostID) || f.random.Float64() < noticeLoss || f.isLost(h, other) {
 				continue
 			}
 			f.later(2*step, func() {
@@ -202,10 +214,10 @@
 	}
 }
 
-func (f *fleet) deliver(d gossip.Digest, to []string) {
+func (f *fleet) deliver(from *simHost, d gossip.Digest, to []string) {
 	for _, h := range f.hosts {
 		for _, address := range to {
-			if string(h.HostID) != address {
+			if string(h.HostID) != address || f.isLost(from, h) {
 				continue
 			}
 			f.later(step, func() {
@@ -215,7 +227,7 @@
 				if to := h.members.Receive(d); len(to) > 0 {
 					forwarded := d
 					forwarded.Forwarded = true
-					f.deliver(forwarded, to)
+					f.deliver(h, forwarded, to)
 				}
 			})
 		}
@@ -305,8 +317,8 @@
 
 // Guards against hosts that together send a server more requests than it named,
 // however many they are, however small the limit and however uneven the demand,
-// while the limit changes and hosts start, leave, die, freeze or move their
-// callers. Also against a limit of which little is used, or that stays after its
+// while the limit changes and hosts start, leave, die, freeze, are cut off, lose
+// messages or move their callers. Also against a limit of which little is used, or that stays after its
 // end.
 func TestHostsTogetherKeepALimit(t *testing.T) {
 	const end, over = 40 * time.Second, 50 * time.Second
@@ -360,6 +372,24 @@
 				}
 			}
 		}},
+		{"messages get lost", 10, 8, 8, 8, func(f *fleet, _ time.Duration) { f.loss = 0.1 }},
+		{"many messages get lost", 10, 8, 8, 8, func(f *fleet, _ time.Duration) { f.loss = 0.3 }},
+		// Servers remain in reach of the hosts that are cut off from the others. All
+		// of them count, although the users' bound would leave these out.
+		{"hosts cut off in turn", 10, 8, 8, 8, func(f *fleet, now time.Duration) {
+			for i, h := range f.hosts[:6] {
+				if now == 9*time.Second+time.Duration(i)*5*time.Second {
+					f.cut = func(a, b *simHost) bool { return a == h || b == h }
+				}
+			}
+		}},
+		{"domains cut off in turn", 10, 8, 8, 8, func(f *fleet, now time.Duration) {
+			for i, d := range []core.DomainID{"a", "b", "c"} {
+				if now == 9*time.Second+time.Duration(i)*10*time.Second {
+					f.cut = func(a, b *simHost) bool { return (a.domain == d) != (b.domain == d) }
+				}
+			}
+		}},
 		{"short freezes in turn", 10, 8, 8, 8, func(f *fleet, now time.Duration) {
 			for i, h := range f.hosts {
 				at := 9*time.Second + time.Duration(i)*900*time.Millisecond
--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -45,13 +45,23 @@
 	Timer  core.Timer
 	Host   core.HostID
 	Picker *picker.Picker
-	// Coordinator returns the name and the address of the coordinator of a server.
-	// Hosts that know the same hosts must choose the same one.
-	Coordinator func(core.Instance) (host core.HostID, address string)
+	// Coordinator returns the coordinator of a server. Hosts that know the same
+	// hosts must choose the same one.
+	Coordinator func(core.Instance) core.Coordinator
 	// Request asks the host with an address for a permit.
 	Request func(ctx context.Context, address string, r core.PermitRequest) (core.PermitReply, error)
 	// OnResult is called with the result of each permit that this host asks for.
 	OnResult func(core.Instance, Result)
+	// OnCoordination is called when this host begins or ends to coordinate a server,
+	// and when Contested changes meanwhile.
+	OnCoordination func(Coordination)
+}
+
+// Coordination says whether this host grants the requests of all hosts to a server.
+type Coordination struct {
+	Server    core.ServerID
+	Active    bool
+	Contested bool // as in core.Coordinator; only a part of the limit is granted
 }
 
 // Pacer asks for permits and grants those of the servers that this host
@@ -63,7 +73,7 @@
 
 // New returns a pacer that coordinates no server.
 func New(cfg Config) *Pacer {
-	return &Pacer{cfg: cfg, buckets: &buckets{timer: cfg.Timer, servers: make(map[core.ServerID]*bucket)}}
+	return &Pacer{cfg: cfg, buckets: &buckets{timer: cfg.Timer, onChange: cfg.OnCoordination, servers: make(map[core.ServerID]*bucket)}}
 }
 
 // Permit decides whether one request may be sent to a server. It asks the
@@ -80,18 +90,18 @@
 
 // ask gets a permit from the coordinator, which may be this host.
 func (p *Pacer) ask(ctx context.Context, i core.Instance, limit picker.Limit) (core.Permit, Result) {
-	by, address := p.cfg.Coordinator(i)
-	permit := core.Permit{By: by}
-	if by == p.cfg.Host {
-		permit.Wait, permit.Granted = p.buckets.take(i, limit.PerSecond)
+	by := p.cfg.Coordinator(i)
+	permit := core.Permit{By: by.Host}
+	if by.Host == p.cfg.Host {
+		permit.Wait, permit.Granted = p.buckets.take(i, limit.PerSecond, by.Contested)
 	} else {
 		request := core.PermitRequest{Host: p.cfg.Host, Server: i.Name, StartedMs: i.StartedMs, Limit: p.toMessage(limit)}
-		reply, err := p.cfg.Request(ctx, address, request)
+		reply, err := p.cfg.Request(ctx, by.Address, request)
 		if err != nil {
 			permit.Wait = silentCoordinatorWait
 			return permit, ResultUnanswered
 		}
-		p.cfg.Picker.MergeLimit(i.Name, i.StartedMs, p.fromMessage(reply.Limit), by)
+		p.cfg.Picker.MergeLimit(i.Name, i.StartedMs, p.fromMessage(reply.Limit), by.Host)
 		permit.Wait, permit.Granted = reply.Wait, reply.Granted
 	}
 	if !permit.Granted {
@@ -108,13 +118,13 @@
 	}
 	limit := p.cfg.Picker.Limit(i)
 	reply := core.PermitReply{Limit: p.toMessage(limit)}
-	switch by, _ := p.cfg.Coordinator(i); {
+	switch by := p.cfg.Coordinator(i); {
 	case !limit.Named:
 		reply.Granted = true
-	case by != p.cfg.Host:
+	case by.Host != p.cfg.Host:
 		reply.Wait = otherViewWait
 	default:
-		reply.Wait, reply.Granted = p.buckets.take(i, limit.PerSecond)
+		reply.Wait, reply.Granted = p.buckets.take(i, limit.PerSecond, by.Contested)
 	}
 	return reply
 }
@@ -132,13 +142,12 @@
 func (p *Pacer) Refresh() []Message {
 	listed := p.cfg.Picker.Servers()
 	p.buckets.retain(func(i core.Instance) bool {
-		by, _ := p.cfg.Coordinator(i)
-		return listed[i.Name] && by == p.cfg.Host
+		return listed[i.Name] && p.cfg.Coordinator(i).Host == p.cfg.Host
 	})
 	var messages []Message
 	for _, i := range p.cfg.Picker.TakeUntoldLimits() {
-		if by, address := p.cfg.Coordinator(i); by != p.cfg.Host {
-			messages = append(messages, Message{Notice: p.notice(i), To: address})
+		if by := p.cfg.Coordinator(i); by.Host != p.cfg.Host {
+			messages = append(messages, Message{Notice: p.notice(i), To: by.Address})
 		}
 	}
 	for _, i := range p.buckets.due(p.cfg.Picker.Limit) {
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -23,6 +23,8 @@
 	peers       map[core.HostID]*testHost
 	transit     time.Duration // of a message from or to this host
 	results     []pacer.Result
+	contested   bool // the coordinator is
+	changes     []pacer.Coordination
 }
 
 var server = core.Instance{Server: core.Server{Name: "i-0", Service: "s", Domain: "a", Address: "x", Slots: 6}, State: core.InstanceReady, StartedMs: 1}
@@ -41,7 +43,9 @@
 		h.hear(perSecond)
 		h.pacer = pacer.New(pacer.Config{
 			Timer: clock, Host: name, Picker: h.picker,
-			Coordinator: func(core.Instance) (core.HostID, string) { return h.coordinator, string(h.coordinator) },
+			Coordinator: func(core.Instance) core.Coordinator {
+				return core.Coordinator{Host: h.coordinator, Address: string(h.coordinator), Contested: h.contested}
+			},
 			Request: func(_ context.Context, address string, r core.PermitRequest) (core.PermitReply, error) {
 				if peer := h.peers[core.HostID(address)]; peer != nil {
 					clock.Advance(h.transit)
@@ -50,7 +54,8 @@
 				}
 				return core.PermitReply{}, errors.New("no reply")
 			},
-			OnResult: func(_ core.Instance, r pacer.Result) { h.results = append(h.results, r) },
+			OnResult:       func(_ core.Instance, r pacer.Result) { h.results = append(h.results, r) },
+			OnCoordination: func(c pacer.Coordination) { h.changes = append(h.changes, c) },
 		})
 		hosts[name] = h
 	}
@@ -119,6 +124,33 @@
 	require.False(t, hosts["h"].permit().Granted)
 }
 
+// Guards against a host that takes over from a coordinator that is only cut off and
+// grants the whole limit beside it. Also against a change that is not reported.
+func TestContestedCoordinatorGrantsAPart(t *testing.T) {
+	const perSecond = 20
+	clock, hosts := newTestHosts(perSecond, "h")
+	granted := func() (n int) {
+		run(clock, hosts, 4*time.Second, func() {
+			if hosts["h"].permit().Granted {
+				n++
+			}
+		})
+		return n
+	}
+	hosts["h"].contested = true
+	granted()
+	require.InDelta(t, 0.4*perSecond*4, granted(), 2)
+	hosts["h"].contested = false
+	require.InDelta(t, perSecond*4, granted(), 2)
+	hosts["h"].coordinator = "other"
+	run(clock, hosts, time.Second, func() {})
+	require.Equal(t, []pacer.Coordination{
+		{Server: server.Name, Active: true, Contested: true},
+		{Server: server.Name, Active: true},
+		{Server: server.Name},
+	}, hosts["h"].changes)
+}
+
 // Guards against requests to a server without a word of its coordinator, and
 // against waiting for one that is silent with each request.
 func TestSilentCoordinatorGrantsNothing(t *testing.T) {
--- a/core/permit.go
+++ b/core/permit.go
@@ -10,6 +10,15 @@
 	By      HostID        // host that decided
 }
 
+// Coordinator is the host that grants the requests of all hosts to a server.
+type Coordinator struct {
+	Host    HostID
+	Address string // IP address
+	// Contested is set if a host that comes before this one has fallen silent. It may
+	// only be cut off, and still grant the requests of the hosts that it reaches.
+	Contested bool
+}
+
 // ServerLimit is what a host tells another about a server's limit of requests per
 // second.
 type ServerLimit struct {
