retry, edge: keep hosts that do not know the others from using the whole budget

Cause: a retry budget took its host for the only one until the first heartbeat after the host list was read. Hosts that start together become ready from the configuration and the servers' entries alone, which may be read while the store still turns the registration away; each then had the extra retries of the whole fleet. Callers would see nothing; the servers of a service that fails after such a start could get retries beyond the budget.

A budget now has no part of the extra until the other hosts are known, only what its own requests earn, and the host tells it their number only once the list was read.

TestHostsThatStartTogetherStayInsideBudget failed before: twelve hosts got 288 retries of 64 allowed; it passes. The budget of the proxy's tests belongs to a single host, which the tests now say with SetHosts(1).

--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -87,7 +87,9 @@
 		h.limiter.SetPeers(quota.Peers{
 			Demand: others.Demand, Hosts: others.Hosts, Unseen: others.Unseen, Complete: others.Complete,
 		})
-		h.budget.SetHosts(len(others.Hosts) + 1)
+		if others.Complete {
+			h.budget.SetHosts(len(others.Hosts) + 1)
+		}
 		h.view.SetRemoteInFlight(others.InFlight)
 		h.sendLimitNotices()
 		for _, id := range h.view.Tick() {
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -97,9 +97,11 @@
 	}
 	limiter := quota.New(quota.Config{Timer: env.clock})
 	limiter.SetWorkspaces(env.table.Workspaces())
+	budget := retry.New(retry.Config{Timer: env.clock, Ratio: 0.2, MinRetries: 64})
+	budget.SetHosts(1)
 	env.proxy = proxy.New(proxy.Config{
 		Timer: env.clock, Backends: env.backends, Picker: view, Limiter: limiter,
-		Budget: retry.New(retry.Config{Timer: env.clock, Ratio: 0.2, MinRetries: 64}), CurrentTable: func() *routes.Table { return env.table },
+		Budget: budget, CurrentTable: func() *routes.Table { return env.table },
 		BorrowTokens: func(context.Context, core.WorkspaceID) bool { return false },
 		Permit: func(_ context.Context, i core.Instance) core.Permit {
 			env.permits = append(env.permits, i.Name)
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -31,7 +31,7 @@
 	cfg Config
 
 	mu      sync.Mutex
-	hosts   int
+	hosts   int // 0 while the other hosts are not known
 	buckets map[core.ServiceID]*bucket
 }
 
@@ -40,19 +40,23 @@
 	updated time.Duration // time of the last refill
 }
 
-// New returns a budget for a single host. SetHosts changes the number of
-// hosts.
+// New returns a budget of which this host has no part until SetHosts is called, as
+// others may use all of it. Until then requests alone earn retries.
 func New(cfg Config) *Budget {
 	if cfg.Window == 0 {
 		cfg.Window = 10 * time.Second
 	}
-	return &Budget{cfg: cfg, hosts: 1, buckets: make(map[core.ServiceID]*bucket)}
+	return &Budget{cfg: cfg, buckets: make(map[core.ServiceID]*bucket)}
 }
 
-// SetHosts sets the number of hosts that share the budget, this one included.
+// SetHosts sets the number of hosts that share the budget, this one included. Call
+// it once the host knows the others.
 func (b *Budget) SetHosts(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.hosts == 0 {
+		clear(b.buckets) // they start again with this host's part
+	}
 	b.hosts = max(n, 1)
 }
 
@@ -78,21 +82,30 @@
 	return true
 }
 
-// depth returns the capacity of a bucket: half of this host's extra retries
-// of one window, and at least 1. The other half is refilled over the window.
-func (b *Budget) depth() float64 {
-	return max(b.cfg.MinRetries*extraFraction/2/float64(b.hosts), 1)
+// part returns half of this host's extra retries of one window: the tokens with
+// which a bucket starts, and those that it gets in one window without requests.
+func (b *Budget) part() float64 {
+	if b.hosts == 0 {
+		return 0
+	}
+	return b.cfg.MinRetries * extraFraction / 2 / float64(b.hosts)
 }
 
+// depth returns the capacity of a bucket.
+func (b *Budget) depth() float64 { return max(b.part(), 1) }
+
 // bucket returns the refilled bucket of a service. b.mu must be held.
 func (b *Budget) bucket(s core.ServiceID) *bucket {
 	now := b.cfg.Timer.Now()
 	k := b.buckets[s]
 	if k == nil {
-		k = &bucket{tokens: b.depth(), updated: now}
+		k = &bucket{updated: now}
+		if b.hosts > 0 {
+			k.tokens = b.depth()
+		}
 		b.buckets[s] = k
 	}
-	perSecond := b.cfg.MinRetries * extraFraction / 2 / float64(b.hosts) / b.cfg.Window.Seconds()
+	perSecond := b.part() / b.cfg.Window.Seconds()
 	k.tokens = min(k.tokens+(now-k.updated).Seconds()*perSecond, b.depth())
 	k.updated = now
 	return k
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -65,6 +65,34 @@
 	}
 }
 
+// Guards against hosts that have just started, do not know of one another yet, and
+// each take the whole budget.
+func TestHostsThatStartTogetherStayInsideBudget(t *testing.T) {
+	const hosts, extra = 12, 64.0
+	clock := timer.NewManual()
+	budgets := make([]*retry.Budget, hosts)
+	retries := 0.0
+	withdraw := func() {
+		for _, b := range budgets {
+			for b.Withdraw("s") {
+				retries++
+			}
+		}
+	}
+	for i := range budgets {
+		budgets[i] = retry.New(retry.Config{Timer: clock, Ratio: 0.2, MinRetries: extra})
+	}
+	withdraw()
+	clock.Advance(time.Second)
+	withdraw()
+	for _, b := range budgets {
+		b.SetHosts(hosts)
+	}
+	withdraw()
+	require.LessOrEqual(t, retries, extra)
+	require.GreaterOrEqual(t, retries, float64(hosts), "a host that knows the others has a part")
+}
+
 // A budget that is spent must fill again with new requests, or retries would
 // stay blocked after a failure.
 func TestRequestsRefillBudget(t *testing.T) {
