picker: forget what is known of a server that starts again after a removal

Cause: what a host knows of a server was reset at a new start only while its entry was listed. If the entry went while a request was in flight, and the server then started again under its name, the new start kept the limit, the suspicion and the load of the one before, and was not taken for cold. Callers would see requests that go elsewhere until the server's next answer. Found by reading; not seen in a run.

TestLimitEndsWithAStartAfterARemoval failed before and passes.

--- a/core/picker/limit_test.go
+++ b/core/picker/limit_test.go
@@ -60,6 +60,25 @@
 	require.Zero(t, env.view.NumLimited(), "the answer is from the earlier start")
 }
 
+// Guards against a limit that outlives its server: the entry went while a request was
+// still in flight, and the server started again under its name.
+func TestLimitEndsWithAStartAfterARemoval(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.addServers(1, "a")
+	env.view.RecordLimit(instance(0, "a"), limited(6.2))
+	_, err := env.view.Acquire(stickyAsk("x"))
+	require.NoError(t, err)
+	env.view.Remove("i-0", 0)
+	again := instance(0, "a")
+	again.StartedMs++
+	env.view.Update(again)
+	require.False(t, env.view.Limit(again).Named)
+	env.view.RecordLimit(again, limited(6.2))
+	env.view.Remove("i-0", 0)
+	env.view.Update(again)
+	require.True(t, env.view.Limit(again).Named, "the same start is listed again")
+}
+
 // Guards against a flood of log lines by a server whose limit changes with each
 // answer, and against bad figures that nobody sees.
 func TestFrequentChangesOfALimitAreMarked(t *testing.T) {
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -135,7 +135,7 @@
 		return EntryOlder
 	}
 	unchanged := s.listed && s.Instance == i && s.expiresAt == 0
-	restarted := s.listed && (s.StartedMs != i.StartedMs || s.Address != i.Address)
+	restarted := s.Name != "" && (s.StartedMs != i.StartedMs || s.Address != i.Address)
 	if restarted {
 		*s = server{hash: s.hash, inFlight: s.inFlight}
 	}
