--- a/app/edge/permit.go
+++ b/app/edge/permit.go
@@ -12,6 +12,7 @@
 func (h *host) newPacer() *pacer.Pacer {
 	return pacer.New(pacer.Config{
 		Timer: h.timer, Host: h.cfg.Place.Name, Picker: h.view, Coordinator: h.coordinator,
+		// The beacon is only set once the host starts.
 		Request: func(ctx context.Context, address string, r core.PermitRequest) (core.PermitReply, error) {
 			return h.beacon.RequestPermit(ctx, address, r)
 		},
--- a/core/pacer/fleet_test.go
+++ b/core/pacer/fleet_test.go
@@ -315,6 +315,21 @@
 	return n
 }
 
+// freezeInTurn freezes a host each interval, for the given time.
+func freezeInTurn(interval, length time.Duration) func(f *fleet, now time.Duration) {
+	return func(f *fleet, now time.Duration) {
+		for i, h := range f.hosts {
+			at := 9*time.Second + time.Duration(i)*interval
+			switch now {
+			case at:
+				h.frozen = true
+			case at + length:
+				h.frozen, h.excused = false, now+3*time.Second
+			}
+		}
+	}
+}
+
 // Guards against hosts that together send a server more requests than it named,
 // however many they are, however small the limit and however uneven the demand,
 // while the limit changes and hosts start, leave, die, freeze, are cut off, lose
@@ -361,17 +376,7 @@
 				}
 			}
 		}},
-		{"freezes in turn", 10, 8, 8, 8, func(f *fleet, now time.Duration) {
-			for i, h := range f.hosts {
-				at := 9*time.Second + time.Duration(i)*1500*time.Millisecond
-				switch now {
-				case at:
-					h.frozen = true
-				case at + 2700*time.Millisecond:
-					h.frozen, h.excused = false, now+3*time.Second
-				}
-			}
-		}},
+		{"freezes in turn", 10, 8, 8, 8, freezeInTurn(1500*time.Millisecond, 2700*time.Millisecond)},
 		{"messages get lost", 10, 8, 8, 8, func(f *fleet, _ time.Duration) { f.loss = 0.1 }},
 		{"many messages get lost", 10, 8, 8, 8, func(f *fleet, _ time.Duration) { f.loss = 0.3 }},
 		// Servers remain in reach of the hosts that are cut off from the others. All
@@ -390,17 +395,7 @@
 				}
 			}
 		}},
-		{"short freezes in turn", 10, 8, 8, 8, func(f *fleet, now time.Duration) {
-			for i, h := range f.hosts {
-				at := 9*time.Second + time.Duration(i)*900*time.Millisecond
-				switch now {
-				case at:
-					h.frozen = true
-				case at + 1700*time.Millisecond:
-					h.frozen, h.excused = false, now+3*time.Second
-				}
-			}
-		}},
+		{"short freezes in turn", 10, 8, 8, 8, freezeInTurn(900*time.Millisecond, 1700*time.Millisecond)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(3) {
