front: answer requests that have arrived when a server closes

Callers saw their connection closed or reset without an answer during a planned stop, although their whole request had arrived: Close let the read of each connection without a request in flight fail at once, also when a request was waiting to be read, and closed the listener, which resets connections that wait to be accepted.

A server that closes now accepts connections and reads from idle ones for 100 ms more. Each of them is closed after its next answer.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -49,9 +49,10 @@
 	cancel    context.CancelFunc
 	exchanges chan *exchange
 
-	mu       sync.Mutex
-	inFlight int // requests that were begun and whose response is not written yet
-	closing  bool
+	mu        sync.Mutex
+	inFlight  int       // requests that were begun and whose response is not written yet
+	closing   bool      // no further request is read
+	idleUntil time.Time // end of the idle time, whatever the idle timeout; zero for none
 }
 
 // exchange is a request and its position in the order of responses.
@@ -222,7 +223,11 @@
 	if c.closing && c.inFlight == 0 {
 		return false
 	}
-	_ = c.SetReadDeadline(time.Now().Add(idle)) // an error shows up in the read
+	until := time.Now().Add(idle)
+	if !c.idleUntil.IsZero() {
+		until = c.idleUntil
+	}
+	_ = c.SetReadDeadline(until) // an error shows up in the read
 	return true
 }
 
@@ -354,15 +359,17 @@
 // response: a few round trips.
 const lingerTimeout = 300 * time.Millisecond
 
-// closeIdle closes the connection if no request is in flight. Otherwise the
-// connection reads no further request.
+// closeIdle closes the connection if no request is in flight and none arrives within
+// closeDelay. Otherwise the connection reads no further request.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
-	if c.inFlight == 0 {
-		_ = c.SetReadDeadline(time.Now())
+	if c.inFlight > 0 {
+		c.closing = true
+		return
 	}
+	c.idleUntil = time.Now().Add(closeDelay)
+	_ = c.SetReadDeadline(c.idleUntil)
 }
 
 func closeRest(r *core.Reply) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -40,6 +40,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	served   chan struct{} // closed when Serve returns
 	conns    map[*conn]bool
 	closed   bool
 }
@@ -49,20 +50,32 @@
 	return &Server{cfg: cfg, conns: make(map[*conn]bool)}
 }
 
-// acceptRetryDelay is the pause after a failed accept, for example when the
-// process has run out of file descriptors.
-const acceptRetryDelay = 20 * time.Millisecond
+const (
+	// acceptRetryDelay is the pause after a failed accept, for example when the
+	// process has run out of file descriptors.
+	acceptRetryDelay = 20 * time.Millisecond
+	// closeDelay is how long a server that closes still accepts connections and
+	// reads from idle ones: about two round trips between regions, as requests may
+	// be on their way.
+	closeDelay = 100 * time.Millisecond
+)
 
 // Serve accepts connections and returns when the listener is closed.
 func (s *Server) Serve(l net.Listener) {
+	served := make(chan struct{})
+	defer close(served)
 	s.mu.Lock()
-	s.listener = l
+	s.listener, s.served = l, served
 	s.mu.Unlock()
 	for {
 		raw, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil && s.isClosed() {
+			_ = l.Close()
+			return
+		}
 		if err != nil {
 			s.cfg.Log.WithError(err).Warn("front: accept failed; retrying")
 			<-s.cfg.Timer.After(acceptRetryDelay)
@@ -71,6 +84,9 @@
 		c := newConn(s, raw)
 		s.mu.Lock()
 		s.conns[c] = true
+		if s.closed {
+			c.closeIdle()
+		}
 		s.mu.Unlock()
 		go c.run()
 	}
@@ -80,18 +96,32 @@
 // connections are still accepted.
 func (s *Server) CloseAfterResponse() { s.shuttingDown.Store(true) }
 
-// Close calls Leave and closes the listener and all idle connections. Other
-// connections close after their requests in flight. It does not wait for them.
+// Close calls CloseAfterResponse and, after closeDelay, closes the listener and all
+// connections that are still idle. Other connections close after their requests in
+// flight. It waits for the listener, but not for connections.
 func (s *Server) Close() {
 	s.CloseAfterResponse()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
+	s.closed = true
+	listener, served := s.listener, s.served
 	for c := range s.conns {
 		c.closeIdle()
 	}
+	s.mu.Unlock()
+	if listener == nil {
+		return
+	}
+	// Closing the listener at once would reset connections that wait to be accepted.
+	if l, ok := listener.(interface{ SetDeadline(time.Time) error }); !ok || l.SetDeadline(time.Now().Add(closeDelay)) != nil {
+		_ = listener.Close()
+	}
+	<-served
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
 }
 
 // NumConns returns the number of open connections.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -278,3 +278,35 @@
 		})
 	}
 }
+
+// Guards against a shutdown that closes a connection without an answer although a
+// whole request has arrived on it, just before the close or just after the
+// connection was opened.
+func TestCloseAnswersRequestsThatHaveArrived(t *testing.T) {
+	for name, opened := range map[string]func(s *testServer) bool{
+		"open connections": func(s *testServer) bool { return s.server.NumConns() == 20 },
+		"new connections":  func(*testServer) bool { return true }, // some may not be accepted yet
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 8 {
+				s := newTestServer(t, core.Limits{}, func(_ context.Context, c *core.Call) *core.Reply { return newReply(c.Path) })
+				callers, readers := make([]net.Conn, 20), make([]*bufio.Reader, 20)
+				for i := range callers {
+					callers[i], readers[i] = s.dial(t)
+				}
+				require.Eventually(t, func() bool { return opened(s) }, waitTimeout, time.Millisecond)
+				s.server.CloseAfterResponse()
+				for i, c := range callers {
+					_, err := io.WriteString(c, getRequest(fmt.Sprintf("/%d", i)))
+					require.NoError(t, err)
+				}
+				s.server.Close()
+				for i, r := range readers {
+					resp, body := readResponse(t, r)
+					require.Equal(t, fmt.Sprintf("/%d", i), body)
+					require.True(t, resp.Close)
+				}
+			}
+		})
+	}
+}
