front: end connections after their last response

A goroutine that watches a connection during its last request cleared the read deadline. If the response was written first, that removed the deadline after which the host closes a connection whose caller keeps it open: the connection stayed for as long as the caller liked, and a host that stops waited for it until its grace period was nearly over. Callers saw nothing.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -149,7 +149,11 @@
 	if x.call.BodyRest != nil {
 		return
 	}
-	_ = c.SetReadDeadline(time.Time{})
+	c.mu.Lock()
+	if !c.closing || c.inFlight > 0 { // otherwise closeWrite sets the deadline
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
 	c.header.remaining = -1
 	_, err := io.Copy(io.Discard, c.reader)
 	if c.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -310,3 +310,19 @@
 		})
 	}
 }
+
+// Guards against connections that stay open after their last response, for as long as
+// the caller keeps its side open: a shutdown would wait for them.
+func TestConnectionsEndAfterTheirLastResponse(t *testing.T) {
+	s := newTestServer(t, core.Limits{}, func(_ context.Context, c *core.Call) *core.Reply { return newReply(c.Path) })
+	var callers sync.WaitGroup
+	for range 400 {
+		conn, r := s.dial(t)
+		callers.Go(func() {
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+			_, _ = io.Copy(io.Discard, r)
+		})
+	}
+	callers.Wait()
+	require.Eventually(t, func() bool { return s.server.NumConns() == 0 }, waitTimeout, time.Millisecond)
+}
