front, conns, beacon, proxy: keep one panic from ending the process

Any panic while a request, a server's response or a datagram of another host was handled ended the process, and with it the requests of all callers: nothing recovered. Found by looking for what operators of similar systems told us (one malformed message or unexpected error took a process down); no message that causes a panic is known.

The slot at the server becomes free.

TestPanicEndsOnlyItsRequest, TestPanicEndsOnlyItsExchange and TestPanicEndsOnlyItsDatagram ended the test process before; TestPanicFreesTheSlotOfItsServer failed with 316 of 2000 requests sent.

--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -71,10 +71,11 @@
 	// limit, if any.
 	PassedOver core.ServerID
 
-	view   *Picker
-	server *server
-	start  time.Duration
-	queued bool // all slots of the server were busy at the start
+	view     *Picker
+	server   *server
+	start    time.Duration
+	queued   bool // all slots of the server were busy at the start
+	released bool
 }
 
 func hashName(name string) uint64 { return xxhash.Sum64String(name) }
--- a/core/picker/learn.go
+++ b/core/picker/learn.go
@@ -26,12 +26,16 @@
 }
 
 // Release ends a lease and updates the view with its outcome. load is nil if the
-// server reported none.
+// server reported none. Further calls do nothing.
 func (l *Lease) Release(end Outcome, load *Load) {
 	v := l.view
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if l.released {
+		return
+	}
+	l.released = true
 	s := l.server
 	s.inFlight = max(s.inFlight-1, 0)
 	if !s.listed {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -303,6 +303,7 @@
 
 // send sends the request to one server.
 func (r *request) send(ctx context.Context, lease *picker.Lease) (*core.Reply, core.SendState, error) {
+	defer lease.Release(picker.OutcomeCancelled, nil) // has no effect unless the exchange panics
 	remaining := r.deadline - r.cfg.Timer.Now()
 	if r.rule.Kind == core.RouteOrder {
 		// An order continues when its caller disconnects: cancelling it would
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -33,12 +33,16 @@
 	state  core.SendState // set for an exchange that fails
 	meta   core.ReplyMeta
 	took   time.Duration
+	panics bool
 }
 
 func (b *fakeBackends) Exchange(_ context.Context, _ core.Instance, _ *core.Call, f core.ForwardInfo) (*core.Reply, core.ReplyMeta, error) {
 	o := b.outcomes[min(len(b.sent), len(b.outcomes)-1)]
 	b.sent = append(b.sent, f)
 	b.clock.Advance(o.took)
+	if o.panics {
+		panic("test")
+	}
 	if o.state != "" {
 		return nil, o.meta, &core.SendError{State: o.state, Cause: errors.New("test")}
 	}
@@ -249,3 +253,20 @@
 	}
 	require.Equal(t, map[core.ServiceID]int{"s": 90, "t": 10}, count)
 }
+
+// Guards against a request that panics and whose slot at the server stays taken.
+func TestPanicFreesTheSlotOfItsServer(t *testing.T) {
+	env := newTestEnv(outcome{panics: true})
+	env.clock.Advance(time.Second)
+	late := func(c *core.Call) { c.Arrived -= 200 * time.Millisecond } // does not wait for a server
+	for range 2000 {                                                   // ten times as many as the servers have slots
+		func() {
+			defer func() { _ = recover() }()
+			env.serve("/l/x", late)
+		}()
+	}
+	require.Equal(t, 2000, len(env.backends.sent))
+	env.backends.outcomes = []outcome{ok}
+	reply, _ := env.serve("/l/x")
+	require.Equal(t, 200, reply.Status)
+}
--- a/io/beacon/beacon.go
+++ b/io/beacon/beacon.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"runtime/debug"
 	"strconv"
 	"sync"
 
@@ -82,8 +83,14 @@
 	}
 }
 
-// handleDatagram handles a datagram by its kind.
-func (b *Transport) handleDatagram(raw []byte, from *net.UDPAddr) error {
+// handleDatagram handles a datagram by its kind. A panic becomes an error, so that a
+// datagram cannot end the process.
+func (b *Transport) handleDatagram(raw []byte, from *net.UDPAddr) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = codes.New(codes.Internal, "beacon: handling a datagram panicked: %v; %s", p, debug.Stack())
+		}
+	}()
 	if len(raw) == 0 {
 		return codes.New(codes.PeerFrame, "beacon: datagram is empty, expected a kind byte")
 	}
--- a/io/beacon/permit_test.go
+++ b/io/beacon/permit_test.go
@@ -108,3 +108,22 @@
 	require.NoError(t, err, "the host still works")
 	require.True(t, reply.Granted)
 }
+
+// Guards against one datagram whose handling panics and that ends the process.
+func TestPanicEndsOnlyItsDatagram(t *testing.T) {
+	port := freeUDPPort(t, "127.8.2.1")
+	first := newPermitHost(t, "127.8.2.1", port, core.PermitReply{})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	second, err := beacon.Listen(beacon.Config{
+		Address: "127.8.2.2", Port: port, Log: log, OnLimitNotice: func(core.LimitNotice) { panic("test") },
+		OnPermitRequest: func(core.PermitRequest) core.PermitReply { return core.PermitReply{Granted: true} },
+	})
+	require.NoError(t, err)
+	go second.Run()
+	t.Cleanup(func() { _ = second.Close() })
+	require.NoError(t, first.SendNotice(core.LimitNotice{Server: "i-1"}, []string{"127.8.2.2"}))
+	reply, err := first.RequestPermit(t.Context(), "127.8.2.2", core.PermitRequest{Server: "i-1"})
+	require.NoError(t, err)
+	require.True(t, reply.Granted)
+}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -109,6 +110,15 @@
 }
 
 func (c *conn) readLoop() {
+	// A response on which the parser panics ends its exchange, not the process.
+	defer func() {
+		if p := recover(); p != nil {
+			c.mu.Lock()
+			x := c.pending
+			c.mu.Unlock()
+			c.fail(x, errors.Errorf("conns: reading the response panicked: %v; %s", p, debug.Stack()))
+		}
+	}()
 	for {
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -429,3 +429,29 @@
 	}
 	require.Eventually(t, func() bool { return p.NumConns() == maxIdle }, 10*time.Second, time.Millisecond)
 }
+
+// panicDialect panics on a header of a response.
+type panicDialect struct{ dialect }
+
+func (d panicDialect) ParseMeta(status int, h http.Header) core.ReplyMeta {
+	if h.Get("Bad") != "" {
+		panic("test")
+	}
+	return d.dialect.ParseMeta(status, h)
+}
+
+// Guards against one response of a server that ends the process, and with it the
+// requests to all other servers.
+func TestPanicEndsOnlyItsExchange(t *testing.T) {
+	bad := func(c net.Conn, r *http.Request) bool {
+		return writeString(c, response(r.Header.Get("Call-Id"), "Bad: 1\r\n", ""))
+	}
+	s, _ := startServer(t, bad, echo)
+	p := conns.New(conns.Config{Timer: timer.NewReal(), Dialect: panicDialect{}})
+	_, _, err := exchange(p, s, call("1"))
+	require.Equal(t, core.SendUnknown, sendState(t, err))
+	reply, _, err := exchange(p, s, call("2"))
+	require.NoError(t, err)
+	require.Equal(t, "2", string(reply.Body))
+	require.Equal(t, 1, p.NumConns())
+}
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"azurering/core"
 	"azurering/core/codes"
@@ -132,7 +134,7 @@
 			return
 		}
 		c.exchanges <- x
-		go func() { x.reply <- c.server.cfg.Handle(c.ctx, x.call) }()
+		go func() { x.reply <- c.handle(x.call) }()
 		if x.closeAfter || x.call.BodyRest != nil {
 			// Requests pipelined behind this one are not served; the caller
 			// sees the close and sends them again.
@@ -142,6 +144,21 @@
 	}
 }
 
+// handle handles a call. A panic ends only this call, not the process with the calls
+// of all other callers. A server may have run the request.
+func (c *conn) handle(call *core.Call) (reply *core.Reply) {
+	defer func() {
+		if p := recover(); p != nil {
+			err := codes.New(codes.Internal, "front: handling the request panicked: %v", p)
+			c.server.cfg.Log.WithError(err).WithFields(logrus.Fields{
+				"event": "panic", "id": call.RequestID, "stack": string(debug.Stack()),
+			}).Error("front: a fault of the program ended a request")
+			reply = proxy.ErrorReply(http.StatusBadGateway, codes.Internal, err)
+		}
+	}()
+	return c.server.cfg.Handle(c.ctx, call)
+}
+
 // watchForDisconnect cancels the connection's requests if the caller disconnects
 // during the last one. A streamed request body is read by the request itself,
 // so it does nothing then.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -326,3 +326,21 @@
 	callers.Wait()
 	require.Eventually(t, func() bool { return s.server.NumConns() == 0 }, waitTimeout, time.Millisecond)
 }
+
+// Guards against one request whose handling panics and that ends the process, and
+// with it the requests of all other callers.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	s := newTestServer(t, core.Limits{}, func(_ context.Context, c *core.Call) *core.Reply {
+		if c.Path == "/bad" {
+			panic("test")
+		}
+		return newReply(c.Path)
+	})
+	conn, r := s.dial(t)
+	_, err := io.WriteString(conn, getRequest("/bad")+getRequest("/good"))
+	require.NoError(t, err)
+	resp, _ := readResponse(t, r)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode, "a server may have run the request")
+	_, body := readResponse(t, r)
+	require.Equal(t, "/good", body)
+}
