beacon: reject figures that would spoil the shares of rates

One datagram with a NaN (or infinite, or negative) demand or number of tokens went into the token bucket of a workspace, which never recovers from a NaN: the host refused all requests of that workspace from then on, or had more than its part. A reply could also lend more than was asked for, and the age of a heartbeat could overflow, so that its host counted as alive for centuries. Permit messages were checked already.

TestDigestsWithInvalidDemandAreRejected, TestHugeAgeOfAHeartbeatIsBounded and TestInvalidNumbersOfTokensAreRejected failed before and pass.

--- a/io/beacon/heartbeat.go
+++ b/io/beacon/heartbeat.go
@@ -1,6 +1,7 @@
 package beacon
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -53,7 +54,7 @@
 	if err := cbor.Unmarshal(raw, &w); err != nil {
 		return gossip.Heartbeat{}, codes.Wrap(err, codes.PeerFrame, "beacon: cannot decode heartbeat")
 	}
-	return heartbeatFromWire(w), nil
+	return heartbeatFromWire(w)
 }
 
 // EncodeDigest encodes a digest without the datagram's kind byte. Errors carry
@@ -80,12 +81,20 @@
 	if err := cbor.Unmarshal(raw, &w); err != nil {
 		return gossip.Digest{}, codes.Wrap(err, codes.PeerFrame, "beacon: cannot decode digest")
 	}
+	demand, err := demandFromWire(w.Demand)
+	if err != nil {
+		return gossip.Digest{}, err
+	}
 	d := gossip.Digest{
 		Domain: core.DomainID(w.Domain), Forwarded: w.Passed, Heartbeats: make([]gossip.Heartbeat, 0, len(w.Beats)),
-		Demand: demandFromWire(w.Demand), InFlight: inFlightFromWire(w.InFlight),
+		Demand: demand, InFlight: inFlightFromWire(w.InFlight),
 	}
 	for _, b := range w.Beats {
-		d.Heartbeats = append(d.Heartbeats, heartbeatFromWire(b))
+		h, err := heartbeatFromWire(b)
+		if err != nil {
+			return gossip.Digest{}, err
+		}
+		d.Heartbeats = append(d.Heartbeats, h)
 	}
 	return d, nil
 }
@@ -103,17 +112,21 @@
 	return w
 }
 
-func heartbeatFromWire(w heartbeatWire) gossip.Heartbeat {
+func heartbeatFromWire(w heartbeatWire) (gossip.Heartbeat, error) {
+	demand, err := demandFromWire(w.Demand)
+	if err != nil {
+		return gossip.Heartbeat{}, err
+	}
 	b := gossip.Heartbeat{
 		Host: core.HostID(w.Host), Domain: core.DomainID(w.Domain), Address: w.Address, StartedMs: w.Boot, Seq: w.Count, Ready: w.Ready,
-		StoreDown: w.Lost, Age: time.Duration(max(w.Age, 0)) * time.Millisecond,
+		StoreDown: w.Lost, Age: duration(w.Age),
 		Versions: map[core.FeedTable]uint64{core.FeedOperator: w.Operator, core.FeedServers: w.Servers},
-		Demand:   demandFromWire(w.Demand), InFlight: inFlightFromWire(w.InFlight), SpareTokens: make(map[core.WorkspaceID]int, len(w.Spare)),
+		Demand:   demand, InFlight: inFlightFromWire(w.InFlight), SpareTokens: make(map[core.WorkspaceID]int, len(w.Spare)),
 	}
 	for name, n := range w.Spare {
 		b.SpareTokens[core.WorkspaceID(name)] = int(n)
 	}
-	return b
+	return b, nil
 }
 
 func demandToWire(demand map[core.WorkspaceID]float64) map[string]float32 {
@@ -124,12 +137,26 @@
 	return w
 }
 
-func demandFromWire(w map[string]float32) map[core.WorkspaceID]float64 {
+func demandFromWire(w map[string]float32) (map[core.WorkspaceID]float64, error) {
 	demand := make(map[core.WorkspaceID]float64, len(w))
 	for name, d := range w {
+		if !isAmount(float64(d)) {
+			return nil, codes.New(codes.PeerFrame, "beacon: demand of workspace %s is %v, expected a finite number of 0 or more", name, d)
+		}
 		demand[core.WorkspaceID(name)] = float64(d)
 	}
-	return demand
+	return demand, nil
+}
+
+// isAmount reports whether a number from a message is finite and not negative.
+func isAmount(n float64) bool { return n >= 0 && !math.IsInf(n, 1) }
+
+// maxDuration bounds the times in messages, so that they can be added to others.
+const maxDuration = 365 * 24 * time.Hour
+
+// duration returns a time from a message, between 0 and maxDuration.
+func duration(milliseconds int64) time.Duration {
+	return time.Duration(min(max(milliseconds, 0), maxDuration.Milliseconds())) * time.Millisecond
 }
 
 func inFlightToWire(inFlight map[core.ServerID]int) map[string]uint16 {
--- a/io/beacon/permit.go
+++ b/io/beacon/permit.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math"
 	"net"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -36,20 +34,12 @@
 // limit returns the limit in a message. A rate that is no finite number of 0 or
 // more makes it unknown.
 func (w *permitWire) limit() core.ServerLimit {
-	if !w.Known || math.IsNaN(w.PerSecond) || math.IsInf(w.PerSecond, 0) || w.PerSecond < 0 {
+	if !w.Known || !isAmount(w.PerSecond) {
 		return core.ServerLimit{}
 	}
 	return core.ServerLimit{Known: true, Named: w.Named, PerSecond: w.PerSecond, Age: duration(w.Age)}
 }
 
-// maxDuration bounds the times in messages, so that they can be added to others.
-const maxDuration = 365 * 24 * time.Hour
-
-// duration returns a time from a message, between 0 and maxDuration.
-func duration(milliseconds int64) time.Duration {
-	return time.Duration(min(max(milliseconds, 0), maxDuration.Milliseconds())) * time.Millisecond
-}
-
 // RequestPermit asks the host with an IP address for a permit. Errors carry
 // PeerDown if the request cannot be sent or gets no reply within 60 ms.
 func (b *Transport) RequestPermit(ctx context.Context, address string, p core.PermitRequest) (core.PermitReply, error) {
--- a/io/beacon/token.go
+++ b/io/beacon/token.go
@@ -41,7 +41,7 @@
 	answer, err := b.request(ctx, address, func(number uint64) (byte, any) {
 		return kindTokenRequest, tokenWire{Number: number, Workspace: string(w), Tokens: want}
 	})
-	return answer.tokens, err
+	return min(answer.tokens, want), err
 }
 
 // reply is the content of a reply to a request for tokens or a permit.
@@ -105,6 +105,9 @@
 	if err := cbor.Unmarshal(raw, &w); err != nil {
 		return codes.Wrap(err, codes.PeerFrame, "beacon: cannot decode token message")
 	}
+	if !isAmount(w.Tokens) {
+		return codes.New(codes.PeerFrame, "beacon: number of tokens is %v, expected a finite number of 0 or more", w.Tokens)
+	}
 	if kind == kindTokenRequest {
 		w.Tokens = b.cfg.OnTokenRequest(core.WorkspaceID(w.Workspace), w.Tokens)
 		return b.sendWire(kindTokenReply, w, from)
