beacon: do not use replies to an earlier process of the host

Requests for tokens and permits were numbered from 1 in each process. A reply that was late by the time of a restart, for example of a host that was frozen meanwhile, could match another request of the new process: a permit for one server would be used for another one, or tokens of one workspace for another.

The numbers now start at random. TestReplyToAnEarlierProcessIsNotUsed failed before and passes.

--- a/io/beacon/beacon.go
+++ b/io/beacon/beacon.go
@@ -4,6 +4,7 @@
 package beacon
 
 import (
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"strconv"
@@ -61,7 +62,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "beacon: cannot open UDP socket")
 	}
-	return &Transport{cfg: cfg, socket: socket, pending: make(map[uint64]chan reply)}, nil
+	// Numbers start at random, so that late replies to an earlier process of this host
+	// match none.
+	return &Transport{cfg: cfg, socket: socket, lastRequest: rand.Uint64(), pending: make(map[uint64]chan reply)}, nil
 }
 
 // Run receives and handles datagrams until the beacon is closed.
--- a/io/beacon/permit_test.go
+++ b/io/beacon/permit_test.go
@@ -127,3 +127,40 @@
 	require.NoError(t, err)
 	require.True(t, reply.Granted)
 }
+
+// Guards against a late reply to a request that this host sent before a restart, and
+// that counts as the reply to another one: the permit of another server would be used.
+func TestReplyToAnEarlierProcessIsNotUsed(t *testing.T) {
+	port := freeUDPPort(t, "127.8.4.1")
+	coordinator, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.8.4.2"), Port: port})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = coordinator.Close() })
+	var late []byte
+	for boot := range 2 {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		h, err := beacon.Listen(beacon.Config{Address: "127.8.4.1", Port: port, Log: log})
+		require.NoError(t, err)
+		go h.Run()
+		done := make(chan error, 1)
+		go func() {
+			_, err := h.RequestPermit(context.Background(), "127.8.4.2", core.PermitRequest{Server: "i-1"})
+			done <- err
+		}()
+		buffer := make([]byte, 1500)
+		n, from, err := coordinator.ReadFromUDP(buffer)
+		require.NoError(t, err)
+		if boot == 0 {
+			var fields []any
+			require.NoError(t, cbor.Unmarshal(buffer[1:n], &fields))
+			fields[8] = true // granted
+			late, err = cbor.Marshal(fields)
+			require.NoError(t, err)
+		} else {
+			_, err = coordinator.WriteToUDP(append([]byte{'q'}, late...), from)
+			require.NoError(t, err)
+		}
+		require.Equal(t, codes.PeerDown, codes.Of(<-done))
+		require.NoError(t, h.Close())
+	}
+}
