conns: do not take a second copy of an answer for a health report

Answers to requests are matched by their ID, but a health check took the first answer on its connection, whatever its ID. A late second copy of an earlier answer made a sound server count as broken until the next check, without its cold time, and would have ended a limit that the server still names.

TestSecondCopyOfAnAnswerIsNoHealthReport failed before and passes.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -60,7 +60,7 @@
 
 // exchange is a request on a connection and the channel for its result.
 type exchange struct {
-	requestID string
+	requestID string        // empty for a health check
 	request   *http.Request // tells http.ReadResponse how the response is framed
 	written   chan struct{} // closed once the request is written completely
 	done      chan result
@@ -200,7 +200,7 @@
 			continue
 		}
 		meta = c.pool.cfg.Dialect.ParseMeta(resp.StatusCode, resp.Header)
-		if x.requestID == "" || meta.ID == x.requestID || meta.ID == "" && !meta.Stamped {
+		if meta.ID == x.requestID || meta.ID == "" && !meta.Stamped {
 			return resp, meta, hadStray, nil
 		}
 		hadStray = true
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -455,3 +455,21 @@
 	require.Equal(t, "2", string(reply.Body))
 	require.Equal(t, 1, p.NumConns())
 }
+
+// Guards against a late second copy of an answer, on a connection that is in use for a
+// health check, that counts as the server's report.
+func TestSecondCopyOfAnAnswerIsNoHealthReport(t *testing.T) {
+	s, _ := startServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path != "/health" {
+			return echo(c, r)
+		}
+		return writeString(c, response("1", "", "1")+"HTTP/1.1 200 OK\r\nServer-Id: i-1\r\nCold: 1500\r\nContent-Length: 0\r\n\r\n")
+	})
+	p := newPool()
+	_, _, err := exchange(p, s, call("1"))
+	require.NoError(t, err)
+	isHealthy, meta, err := p.CheckHealth(context.Background(), s, "/health")
+	require.NoError(t, err)
+	require.True(t, isHealthy)
+	require.Equal(t, 1500*time.Millisecond, meta.WarmupLeft)
+}
