--- a/core/picker/share.go
+++ b/core/picker/share.go
@@ -142,8 +142,9 @@
 			byRegion = slotWeights(string(v.cfg.Region), regions, normalizeDemand(regions))
 		}
 		for _, s := range servers {
-			s.weight = weightOrOne(byRegion[string(v.cfg.Regions[s.Domain])]) * v.usableSlots(now, s)
-			s.largeWeight = weightOrOne(byDomain[string(s.Domain)]) * v.usableSlots(now, s)
+			usable := v.usableSlots(now, s)
+			s.weight = weightOrOne(byRegion[string(v.cfg.Regions[s.Domain])]) * usable
+			s.largeWeight = weightOrOne(byDomain[string(s.Domain)]) * usable
 		}
 	}
 }
