soak: give servers addresses below the ephemeral range

A server that takes over the address of a crashed one listened on a port of 127.0.0.1 that had been drawn from the ephemeral range and was free for up to some seconds; another test process that draws a port then may get it, and the soak panics.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -26,8 +26,13 @@
 	storePort
 	linkPort
 	peerPort
+	backendPort // the servers have this port and those above it
 )
 
+// backendIP is the number of the servers' IP address in a cluster's network. It is
+// above those of the hosts.
+const backendIP = 250
+
 const (
 	gracePeriod = 6 * time.Second
 	hostName    = "h.example"
@@ -194,6 +199,7 @@
 
 func newCluster(t *testing.T, binary string, hosts int) *cluster {
 	t.Helper()
+	clusters++
 	c := &cluster{t: t, store: stand.NewStore(), ledger: &stand.RequestLog{}, start: time.Now()}
 	c.drainedAt, c.keyValidity, c.allBackends = make(map[string]time.Time), make(map[int]interval), make(map[string]*backend)
 	storeServer := httptest.NewServer(c.store)
@@ -213,7 +219,6 @@
 			b.link.close()
 		}
 	})
-	clusters++
 	dir := t.TempDir()
 	for n := range hosts {
 		h := c.newHost(dir, n, binary, strings.TrimPrefix(storeServer.URL, "http://"))
@@ -223,9 +228,14 @@
 	return c
 }
 
+// clusterIP returns an IP address of the latest cluster.
+func clusterIP(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, clusters%250, n)
+}
+
 func (c *cluster) newHost(dir string, index int, binary, store string) *host {
 	t := c.t
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, clusters%250, index+1)
+	ip := clusterIP(index + 1)
 	d := domains[index%len(domains)]
 	h := &host{binary: binary, settings: filepath.Join(dir, fmt.Sprint("host-", index, ".json")), Machine: stand.Machine{
 		Name: fmt.Sprintf("edge-%s-%d", d, index), IP: ip, Domain: d, Region: regions[d], Regions: regions,
@@ -283,12 +293,15 @@
 }
 
 // addBackend starts a server, which registers in the store. Its link listens on
-// a free port if listen is empty.
+// an address that no other server has had if listen is empty.
 func (c *cluster) addBackend(service, domain, listen string) *backend {
 	c.mu.Lock()
 	c.lastBackendID++
 	b := &backend{id: fmt.Sprintf("i-%d", c.lastBackendID), service: service, domain: domain}
 	c.allBackends[b.id] = b
+	if listen == "" {
+		listen = fmt.Sprintf("%s:%d", clusterIP(backendIP), backendPort+c.lastBackendID)
+	}
 	c.mu.Unlock()
 	serviceTime := 20 * time.Millisecond
 	if service == "vault" {
@@ -298,11 +311,8 @@
 	b.Server, err = stand.StartServer(stand.ServerConfig{
 		ID: b.id, Service: service, Domain: domain, Capacity: 4, Queue: 8, ProcessingTime: serviceTime, Store: c.store, Ledger: c.ledger,
 		AdvertiseAddress: func(address string) string {
-			if listen == "" {
-				listen = "127.0.0.1:0"
-			}
 			if b.link, err = newLink(listen, "", address); err != nil {
-				panic(err) // only a listen address whose earlier link has been closed is passed in
+				panic(err) // an address is used again only after its earlier link has been closed
 			}
 			return b.link.address()
 		},
