picker: compute the logarithm only of servers that can be candidates

Most of a choice is the score of each server, and most servers rank behind the 24 candidates: -log(u) is at least 1-u, so that a comparison leaves them out without the logarithm. The choice stays the same.

TestCandidatesOfALargeServiceAreTheFirstInRank fails if the comparison leaves out servers too early (tried with 1.3 times 1-u).

--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -119,8 +119,16 @@
 		if req.LargeAnswer {
 			weight = s.largeWeight
 		}
-		score := -math.Log(unitHash(object, s.hash)) / weight
-		if len(list) == maxCandidates && score >= list[maxCandidates-1].score {
+		u := unitHash(object, s.hash)
+		worst := math.Inf(1)
+		if len(list) == maxCandidates {
+			worst = list[maxCandidates-1].score
+		}
+		if (1-u)/weight >= worst {
+			continue // -log(u) is never less, and most servers need no logarithm
+		}
+		score := -math.Log(u) / weight
+		if score >= worst {
 			continue
 		}
 		i := sort.Search(len(list), func(i int) bool { return list[i].score > score })
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -362,3 +363,45 @@
 	require.NoError(t, err)
 	require.Equal(t, core.ServerID("i-100"), lease.Name)
 }
+
+// ranking returns the candidates for an object in their order. It fills one after
+// the other.
+func (env *testEnv) ranking(t *testing.T, object string, candidates int) []core.ServerID {
+	t.Helper()
+	var list []core.ServerID
+	for range candidates {
+		for range instance(0, "a").Slots {
+			lease, err := env.view.Acquire(picker.Request{Service: "s", Object: object, MaxLatency: time.Second})
+			require.NoError(t, err)
+			list = append(list, lease.Name)
+		}
+	}
+	return slices.Compact(list)
+}
+
+// Guards against a server of a large service that is no candidate although it ranks
+// before others that are: compares with small services, where all are candidates.
+func TestCandidatesOfALargeServiceAreTheFirstInRank(t *testing.T) {
+	const all, candidates, few = 100, 24, 20
+	for n := range 100 {
+		object := fmt.Sprint(n)
+		large := newTestEnv("h1", "a")
+		large.addServers(all, "a")
+		position := make(map[core.ServerID]int)
+		for id := range all {
+			position[instance(id, "a").Name] = candidates // unless it is one of them
+		}
+		for i, id := range large.ranking(t, object, candidates) {
+			position[id] = i
+		}
+		small := newTestEnv("h1", "a")
+		for i := range few {
+			small.view.Update(instance((n+i*3)%all, "a"))
+		}
+		last := 0
+		for _, id := range small.ranking(t, object, few) {
+			require.GreaterOrEqual(t, position[id], last, "object %s, server %s", object, id)
+			last = position[id]
+		}
+	}
+}
