conns, proxy, picker: let orders outlive the silence of their servers

Callers got 502 for an order whose server acknowledged nothing for 1.2 s (TCP_USER_TIMEOUT), or for about 3 s once it had the whole request (keep-alive probes), although the server ran it and would have answered before the deadline; they cannot repeat it then.

The unacknowledged data of an order may wait until its deadline. That alone would hide a dead server of a service that gets orders only, so the pool reads TCP_INFO once a second: a server that is silent for 1.2 s (for the third second of probes) while an order waits is suspect, as after a broken connection, and gets a health check. Where the system has no TCP_INFO, orders end as before.

--- a/core/dialect.go
+++ b/core/dialect.go
@@ -64,12 +64,15 @@
 	RateLimitInvalid RateLimitState = "invalid" // the answer names a limit that cannot be used
 )
 
-// ForwardInfo holds what a host adds to the caller's headers in the request to a
+// ForwardInfo holds what a host adds to the caller's request when it sends it to a
 // server.
 type ForwardInfo struct {
 	Server    ServerID
 	Workspace WorkspaceID   // empty on open routes
 	TimeLeft  time.Duration // time left until the request's deadline
+	// AtMostOnce is set if the request must not run again elsewhere. The host waits
+	// for the answer until the deadline, also while the server is silent.
+	AtMostOnce bool
 }
 
 // HeaderCodec maps the headers that callers, hosts and servers exchange. It is
--- a/core/picker/learn.go
+++ b/core/picker/learn.go
@@ -59,10 +59,25 @@
 	case OutcomeShed:
 		s.shedUntil = now + shedBackoff
 	case OutcomeMoved, OutcomeBroken:
-		if !s.suspect {
-			s.suspect = true
-			v.requestCheck(now, s)
-		}
+		v.suspect(now, s)
+	}
+}
+
+// Suspect records that a server is silent, although requests wait there. It gets no
+// others until a health check succeeds.
+func (v *Picker) Suspect(i core.Instance) {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.servers[i.Name]; s != nil && s.listed && s.Address == i.Address && s.StartedMs == i.StartedMs {
+		v.suspect(now, s)
+	}
+}
+
+func (v *Picker) suspect(now time.Duration, s *server) {
+	if !s.suspect {
+		s.suspect = true
+		v.requestCheck(now, s)
 	}
 }
 
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -333,6 +333,25 @@
 	require.Positive(t, env.countAccepted(100*time.Millisecond))
 }
 
+// Guards against requests to a silent server while an order still waits there: the
+// order does not end until its deadline.
+func TestSilentServerIsChecked(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.view.Update(instance(1, "a"))
+	_, err := env.view.Acquire(stickyAsk("x"))
+	require.NoError(t, err)
+	other := instance(1, "a")
+	other.StartedMs++
+	env.view.Suspect(other)
+	require.Empty(t, env.checks, "another start of the server was silent")
+	env.view.Suspect(instance(1, "a"))
+	env.view.Suspect(instance(1, "a"))
+	require.Equal(t, []core.ServerID{"i-1"}, env.checks)
+	require.Zero(t, env.countAccepted(100*time.Millisecond))
+	env.view.HandleCheck(instance(1, "a"), true, 0)
+	require.Positive(t, env.countAccepted(100*time.Millisecond))
+}
+
 // Guards against ejecting a server that refused only because it was full.
 func TestSheddingServerGetsAPause(t *testing.T) {
 	env := newTestEnv("h1", "a")
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -312,7 +312,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	forward := core.ForwardInfo{Server: lease.Name, Workspace: r.record.Workspace, TimeLeft: remaining}
+	forward := core.ForwardInfo{Server: lease.Name, Workspace: r.record.Workspace, TimeLeft: remaining, AtMostOnce: r.rule.Kind == core.RouteOrder}
 	reply, meta, err := r.cfg.Backends.Exchange(ctx, lease.Instance, r.call, forward)
 	r.record.ConnectTime = meta.ConnectTime
 	r.cfg.Picker.RecordLimit(lease.Instance, meta)
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -270,3 +270,13 @@
 	reply, _ := env.serve("/l/x")
 	require.Equal(t, 200, reply.Status)
 }
+
+// Guards against an order that ends early because its server is silent, and against
+// other requests that wait there for long although another server could take them.
+func TestOrdersAreSentAtMostOnce(t *testing.T) {
+	for path, want := range map[string]bool{"/o/x": true, "/l/x": false} {
+		env := newTestEnv(ok)
+		env.serve(path)
+		require.Equal(t, want, env.backends.sent[0].AtMostOnce, path)
+	}
+}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -176,6 +176,7 @@
 	c.closed = c.closed || !isReusable
 	c.mu.Unlock()
 	if isReusable {
+		c.pool.resetUnackedTimeout(c)
 		c.pool.putIdle(c)
 	} else {
 		_ = c.Close()
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -29,9 +29,6 @@
 	// SYN: TCP retransmits it only after a second, and another server can respond
 	// sooner.
 	DialTimeout = 400 * time.Millisecond
-	// unackedTimeout is the TCP_USER_TIMEOUT of connections. It allows for a few
-	// retransmissions, which begin after 200 ms.
-	unackedTimeout = 1200 * time.Millisecond
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 4
 	// healthCheckTimeout bounds a health check.
@@ -56,30 +53,23 @@
 type Pool struct {
 	cfg Config
 
-	mu   sync.Mutex
-	idle map[core.ServerID][]*conn
-	open int
+	tcpInfo func(net.Conn) (*unix.TCPInfo, error) // replaced by tests
+
+	mu       sync.Mutex
+	idle     map[core.ServerID][]*conn
+	extended map[*conn]extension
+	open     int
 }
 
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
 	if cfg.Dial == nil {
-		dialer := &net.Dialer{KeepAliveConfig: keepAlive, Control: setUnackedTimeout}
+		dialer := &net.Dialer{KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
+			return rawSocket(raw, setUnackedTimeout(unackedTimeout))
+		}}
 		cfg.Dial = dialer.DialContext
 	}
-	return &Pool{cfg: cfg, idle: make(map[core.ServerID][]*conn)}
-}
-
-// setUnackedTimeout bounds how long sent data may stay unacknowledged.
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.Wrap(err, "conns: cannot access the socket")
-	}
-	return errors.Wrap(optErr, "conns: cannot set TCP_USER_TIMEOUT")
+	return &Pool{cfg: cfg, tcpInfo: readTCPInfo, idle: make(map[core.ServerID][]*conn), extended: make(map[*conn]extension)}
 }
 
 // Exchange implements core.Backends. If the reply has a Rest, the caller must
@@ -93,6 +83,9 @@
 	if err != nil {
 		return nil, core.ReplyMeta{ConnectTime: connectTime}, &core.SendError{State: core.SendNotSent, Cause: err}
 	}
+	if f.AtMostOnce {
+		p.extendUnackedTimeout(cn)
+	}
 	reply, meta, err := p.roundTrip(ctx, cn, x, c, header)
 	meta.ConnectTime = connectTime
 	return reply, meta, err
@@ -273,6 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	delete(p.extended, c)
 	list := p.idle[c.server.Name]
 	for i, other := range list {
 		if other == c {
