conns, edge: tell silent servers by the data that they do not acknowledge

A server was silent if TCP_INFO named an old last acknowledgement. Now it is silent if part of a request that was written whole 1.2 s ago is not acknowledged; the next order to a server that fell silent later shows it. Hosts look with each heartbeat, not once a second.

--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -92,12 +92,23 @@
 		}
 		h.view.SetRemoteInFlight(others.InFlight)
 		h.sendLimitNotices()
+		h.suspectSilentServers()
 		for _, id := range h.view.Tick() {
 			h.cfg.Log.WithFields(logrus.Fields{"event": "server", "server": id}).Info("edge: lapsed entry of a server was not renewed; the server gets no more requests")
 		}
 	})
 }
 
+// suspectSilentServers keeps requests from servers that are silent while orders wait
+// there.
+func (h *host) suspectSilentServers() {
+	for _, s := range h.pool.SilentServers() {
+		h.cfg.Log.WithFields(logrus.Fields{"event": "silent", "server": s.Name}).
+			Warn("edge: server acknowledges nothing; orders wait there, other requests go elsewhere")
+		h.view.Suspect(s)
+	}
+}
+
 func (h *host) sendHeartbeats() {
 	for _, m := range h.members.Tick(h.heartbeat()) {
 		err := h.beacon.Send(m.Digest, m.To)
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -227,13 +227,7 @@
 }
 
 func (h *host) runSweep(ctx context.Context) {
-	timer.Every(ctx, h.timer, "sweep", sweepInterval, nil, func(context.Context) {
-		h.pool.CloseExpired(h.view.Servers())
-		for _, s := range h.pool.SilentServers() {
-			h.cfg.Log.WithFields(logrus.Fields{"event": "silent", "server": s.Name}).Warn("edge: server acknowledges nothing; orders wait there, other requests go elsewhere")
-			h.view.Suspect(s)
-		}
-	})
+	timer.Every(ctx, h.timer, "sweep", sweepInterval, nil, func(context.Context) { h.pool.CloseExpired(h.view.Servers()) })
 }
 
 // stop shuts the host down: it leaves the look-ups, accepts requests for a
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"azurering/core"
 )
@@ -53,7 +52,7 @@
 type Pool struct {
 	cfg Config
 
-	tcpInfo func(net.Conn) (*unix.TCPInfo, error) // replaced by tests
+	unacked func(net.Conn) (int, error) // readUnacked, or that of a test
 
 	mu       sync.Mutex
 	idle     map[core.ServerID][]*conn
@@ -69,7 +68,7 @@
 		}}
 		cfg.Dial = dialer.DialContext
 	}
-	return &Pool{cfg: cfg, tcpInfo: readTCPInfo, idle: make(map[core.ServerID][]*conn), extended: make(map[*conn]extension)}
+	return &Pool{cfg: cfg, unacked: readUnacked, idle: make(map[core.ServerID][]*conn), extended: make(map[*conn]extension)}
 }
 
 // Exchange implements core.Backends. If the reply has a Rest, the caller must
@@ -84,7 +83,7 @@
 		return nil, core.ReplyMeta{ConnectTime: connectTime}, &core.SendError{State: core.SendNotSent, Cause: err}
 	}
 	if f.AtMostOnce {
-		p.extendUnackedTimeout(cn)
+		p.extendUnackedTimeout(cn, x)
 	}
 	reply, meta, err := p.roundTrip(ctx, cn, x, c, header)
 	meta.ConnectTime = connectTime
@@ -96,6 +95,7 @@
 	if err := cn.writeRequest(ctx, x, c, header); err != nil {
 		return p.handleWriteError(cn, x, err)
 	}
+	p.setWritten(cn, x)
 	select {
 	case r := <-x.done:
 		return p.checkResult(r)
--- a/io/conns/silent.go
+++ b/io/conns/silent.go
@@ -18,9 +18,6 @@
 	// atMostOnceUnackedTimeout replaces it for requests that must not run again.
 	// Their deadlines end them sooner.
 	atMostOnceUnackedTimeout = time.Hour
-	// lostProbes is the number of keep-alive probes in flight from which on at least
-	// one of them had no reply for keepAlive.Interval.
-	lostProbes = 2
 )
 
 var errNotTCP = errors.New("conns: connection has no socket")
@@ -55,33 +52,34 @@
 	}
 }
 
-func readTCPInfo(c net.Conn) (info *unix.TCPInfo, err error) {
-	err = socket(c, func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return errors.Wrap(err, "conns: cannot read TCP_INFO")
+// readUnacked returns the number of segments sent on a connection that the other side
+// has not acknowledged.
+func readUnacked(c net.Conn) (n int, err error) {
+	err = socket(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return errors.Wrap(err, "conns: cannot read TCP_INFO")
+		}
+		n = int(info.Unacked)
+		return nil
 	})
-	return info, err
-}
-
-// isSilent reports whether the other side has acknowledged neither data nor probes
-// for unackedTimeout.
-func isSilent(info *unix.TCPInfo) bool {
-	waits := info.Unacked > 0 || info.Probes >= lostProbes
-	return waits && time.Duration(info.Last_ack_recv)*time.Millisecond >= unackedTimeout
+	return n, err
 }
 
 // extension is the state of a connection whose unacknowledged data may wait for long.
 type extension struct {
-	since    time.Duration // start of its request
-	reported bool          // by SilentServers
+	exchange  *exchange     // its request
+	isWritten bool          // the whole request was sent
+	writtenAt time.Duration // when it was
+	reported  bool          // by SilentServers
 }
 
 // extendUnackedTimeout lets the connection outlive the silence of its server, for a
 // request that must not run again: it may be running there, and its answer may still
 // come. Without TCP_INFO the connection ends as for other requests, because nothing
 // else would tell that the server is silent.
-func (p *Pool) extendUnackedTimeout(c *conn) {
-	if _, err := p.tcpInfo(c.Conn); err != nil {
+func (p *Pool) extendUnackedTimeout(c *conn, x *exchange) {
+	if _, err := p.unacked(c.Conn); err != nil {
 		return
 	}
 	if socket(c.Conn, setUnackedTimeout(atMostOnceUnackedTimeout)) != nil {
@@ -89,7 +87,19 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.extended[c] = extension{since: p.cfg.Timer.Now()}
+	p.extended[c] = extension{exchange: x}
+}
+
+// setWritten records that the whole request of an exchange was sent. The answer may
+// have arrived already, and the connection may have another exchange.
+func (p *Pool) setWritten(c *conn, x *exchange) {
+	now := p.cfg.Timer.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.extended[c]; e.exchange == x {
+		e.isWritten, e.writtenAt = true, now
+		p.extended[c] = e
+	}
 }
 
 // resetUnackedTimeout undoes extendUnackedTimeout.
@@ -103,28 +113,30 @@
 	}
 }
 
-// SilentServers returns the servers that have been silent for a while on a connection
-// that waits all the same, because it carries a request that must not run again. It
-// reports each such connection once. The owner calls it about once a second.
+// SilentServers returns the servers that have not acknowledged a whole request for
+// unackedTimeout, on connections that wait all the same because the request must not
+// run again. It reports each request once. The owner calls it
+// several times a second.
 func (p *Pool) SilentServers() []core.Instance {
 	now := p.cfg.Timer.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []core.Instance
 	seen := make(map[core.ServerID]bool)
-	for c, state := range p.extended {
-		if state.reported || now < state.since+unackedTimeout {
+	for c, e := range p.extended {
+		if e.reported || !e.isWritten || now < e.writtenAt+unackedTimeout {
 			continue
 		}
-		info, err := p.tcpInfo(c.Conn)
+		n, err := p.unacked(c.Conn)
 		if err != nil {
 			delete(p.extended, c) // closed
 			continue
 		}
-		if !isSilent(info) {
+		if n == 0 {
 			continue
 		}
-		p.extended[c] = extension{since: state.since, reported: true}
+		e.reported = true
+		p.extended[c] = e
 		if !seen[c.server.Name] {
 			seen[c.server.Name] = true
 			list = append(list, c.server)
