conns, picker: keep idle connections within what a server accepts from all hosts

With many hosts, or a small maxConns, idle connections alone reach that number, and the server resets those that requests need. The users' site files allow 20 or more for each host, so that it was not seen.

A host keeps at most 4, and at most half of its even share.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -227,7 +227,9 @@
 }
 
 func (h *host) runSweep(ctx context.Context) {
-	timer.Every(ctx, h.timer, "sweep", sweepInterval, nil, func(context.Context) { h.pool.CloseExpired(h.view.Servers()) })
+	timer.Every(ctx, h.timer, "sweep", sweepInterval, nil, func(context.Context) {
+		h.pool.Trim(h.view.ConnShares(len(h.members.Totals().Hosts) + 1))
+	})
 }
 
 // stop shuts the host down: it leaves the look-ups, accepts requests for a
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -10,6 +10,7 @@
 package picker
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -273,6 +274,25 @@
 	v.servicesStale = true
 }
 
+// ConnShares returns, for each listed server, this host's even share of the
+// connections that the server accepts from the given number of hosts together. It is
+// math.MaxInt if the service does not name that number.
+func (v *Picker) ConnShares(hosts int) map[core.ServerID]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	shares := make(map[core.ServerID]int, len(v.servers))
+	for id, s := range v.servers {
+		if !s.listed {
+			continue
+		}
+		shares[id] = math.MaxInt
+		if c := v.cfg.Service(s.Service); c != nil && c.MaxConns > 0 {
+			shares[id] = c.MaxConns / max(hosts, 1)
+		}
+	}
+	return shares
+}
+
 // Servers returns the set of listed servers.
 func (v *Picker) Servers() map[core.ServerID]bool {
 	v.mu.Lock()
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -14,6 +15,9 @@
 	"azurering/core/timer"
 )
 
+// maxConns is the number of connections that the servers accept.
+const maxConns = 390
+
 type testEnv struct {
 	clock       *timer.Manual
 	view        *picker.Picker
@@ -29,8 +33,11 @@
 	env.view = picker.New(picker.Config{
 		Timer: env.clock, Host: host, Domain: domain, Region: regions[domain], Regions: regions,
 		DomainHosts: func(core.DomainID) []core.HostID { return env.domainHosts },
-		Service: func(core.ServiceID) *core.ServiceConfig {
-			return &core.ServiceConfig{HealthPath: "/health", ColdDuration: 3 * time.Second, ColdRate: 2.5}
+		Service: func(id core.ServiceID) *core.ServiceConfig {
+			if id == "unnamed" {
+				return nil
+			}
+			return &core.ServiceConfig{MaxConns: maxConns, HealthPath: "/health", ColdDuration: 3 * time.Second, ColdRate: 2.5}
 		},
 		RequestCheck: func(i core.Instance) { env.checks = append(env.checks, i.Name) },
 		OnLimit: func(c picker.LimitChange) {
@@ -424,3 +431,21 @@
 		}
 	}
 }
+
+// Guards against hosts whose connections to a server together exceed what it accepts.
+func TestConnSharesAddUpToWhatAServerAccepts(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.view.Update(instance(1, "a"))
+	for _, hosts := range []int{0, 1, 7, 100, 1000} {
+		shares := env.view.ConnShares(hosts)
+		require.Len(t, shares, 1)
+		require.LessOrEqual(t, shares["i-1"]*hosts, maxConns)
+		require.Greater(t, (shares["i-1"]+1)*max(hosts, 1), maxConns)
+	}
+	unnamed := instance(2, "a")
+	unnamed.Service = "unnamed"
+	env.view.Update(unnamed)
+	require.Equal(t, math.MaxInt, env.view.ConnShares(100)["i-2"])
+	env.view.Remove("i-1", 0)
+	require.NotContains(t, env.view.ConnShares(1), core.ServerID("i-1"))
+}
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -30,6 +31,9 @@
 	DialTimeout = 400 * time.Millisecond
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 4
+	// idleShare is the part of this host's share of a server's connections that may
+	// be idle. The rest is for requests.
+	idleShare = 0.5
 	// healthCheckTimeout bounds a health check.
 	healthCheckTimeout = 600 * time.Millisecond
 	readBufferSize     = 8 << 10
@@ -56,6 +60,7 @@
 
 	mu       sync.Mutex
 	idle     map[core.ServerID][]*conn
+	shares   map[core.ServerID]int // as of the last call of Trim
 	extended map[*conn]extension
 	open     int
 }
@@ -254,13 +259,22 @@
 	defer p.mu.Unlock()
 	c.idleUntil = p.cfg.Timer.Now() + c.idleTimeout
 	list := p.idle[c.server.Name]
-	if len(list) >= maxIdlePerServer {
+	if len(list) >= p.maxIdle(c.server.Name) {
 		c.shut()
 		return
 	}
 	p.idle[c.server.Name] = append(list, c)
 }
 
+// maxIdle returns how many connections to a server may stay idle.
+func (p *Pool) maxIdle(id core.ServerID) int {
+	share, ok := p.shares[id]
+	if !ok {
+		return maxIdlePerServer // listed since the last call of Trim
+	}
+	return int(min(maxIdlePerServer, idleShare*float64(share)))
+}
+
 // remove stops counting a closed connection and removes it from the idle ones.
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
@@ -276,25 +290,30 @@
 	}
 }
 
-// CloseExpired closes idle connections that have expired or lead to servers that are no
-// longer listed. The owner calls it about once a second.
-func (p *Pool) CloseExpired(listed map[core.ServerID]bool) {
+// Trim closes idle connections that have expired, that lead to servers without a share,
+// or that are too many for it. shares has this host's share of the connections that
+// each listed server accepts from all hosts together. The owner calls it about once a
+// second.
+func (p *Pool) Trim(shares map[core.ServerID]int) {
 	now := p.cfg.Timer.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.shares = shares
 	for id, list := range p.idle {
+		_, listed := shares[id]
 		var kept []*conn
-		for _, c := range list {
-			if listed[id] && now < c.idleUntil {
+		for i := len(list) - 1; i >= 0; i-- { // those used last come last
+			if c := list[i]; listed && now < c.idleUntil && len(kept) < p.maxIdle(id) {
 				kept = append(kept, c)
 				continue
 			}
-			c.shut()
+			list[i].shut()
 		}
 		if len(kept) == 0 {
 			delete(p.idle, id)
 			continue
 		}
+		slices.Reverse(kept)
 		p.idle[id] = kept
 	}
 }
