server: tell late copies of answers apart at servers of azurering entry

Operators of similar systems told of a second copy of an answer that arrived late, on a connection that was in use again, and reached the next caller. For servers of `azurering entry` it can happen here: nothing in an answer says to which request it belongs. Callers would have got another request's answer with status 200.

Each request and health probe now has a number in Azurering-Exchange. If a server repeats it, an answer with another number is not passed on: the connection is closed, and the request counts as one that may have run.

TestLateCopyIsNotTheNextAnswer: before, the second request got the late copy.

--- a/app/demo/backend.go
+++ b/app/demo/backend.go
@@ -53,6 +53,7 @@
 
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Azurering-Exchange", r.Header.Get("Azurering-Exchange"))
 	if r.URL.Path == "/health" {
 		fmt.Fprintf(w, `{"ready":true,"load":%.2f}`, float64(b.inFlight.Load())/float64(b.Slots))
 		return
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,10 @@
 	// HeaderDeadline is the header with the time left for the request in
 	// milliseconds.
 	HeaderDeadline = "Azurering-Deadline"
+	// HeaderExchange is the header with the number of the exchange. A backend server
+	// that repeats it in the response lets the host tell a late copy of an earlier
+	// response on the same connection.
+	HeaderExchange = "Azurering-Exchange"
 )
 
 const (
@@ -59,6 +64,7 @@
 	timer     core.Timer
 	scheme    string
 	transport *http.Transport
+	exchanges atomic.Uint64 // counts them
 }
 
 var _ core.Servers = (*Client)(nil)
@@ -114,6 +120,15 @@
 	return core.SendUnknown
 }
 
+// closeConn closes the connection of the request.
+func (t *sendTrace) closeConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 // Send implements core.Servers. The caller must close the body of the
 // response; until then ctx applies to reading it.
 func (c *Client) Send(ctx context.Context, s core.Server, r core.Request) (core.Response, error) {
@@ -129,9 +144,31 @@
 		cancel()
 		return core.Response{}, &core.SendError{State: trace.sendState(), Cause: err}
 	}
+	if err := checkExchange(req, resp); err != nil {
+		trace.closeConn()
+		_ = resp.Body.Close()
+		cancel()
+		return core.Response{}, &core.SendError{State: core.SendUnknown, Cause: err}
+	}
 	return c.response(resp, req.Method, cancel)
 }
 
+// numberExchange sets the header that tells the response of a request from others.
+func (c *Client) numberExchange(req *http.Request) {
+	req.Header.Set(HeaderExchange, strconv.FormatUint(c.exchanges.Add(1), 10))
+}
+
+// checkExchange returns an error if a response belongs to another request. Servers may
+// leave the number out.
+func checkExchange(req *http.Request, resp *http.Response) error {
+	got, sent := resp.Header.Get(HeaderExchange), req.Header.Get(HeaderExchange)
+	resp.Header.Del(HeaderExchange)
+	if got != "" && got != sent {
+		return errors.Errorf("server: response belongs to exchange %.20q instead of %s", got, sent)
+	}
+	return nil
+}
+
 func (c *Client) request(ctx context.Context, s core.Server, r core.Request) (*http.Request, error) {
 	target, err := url.Parse(c.scheme + "://" + s.Address + r.Path)
 	if err != nil {
@@ -157,6 +194,7 @@
 		req.Body = io.NopCloser(bytes.NewReader(r.Body))
 		req.ContentLength = int64(len(r.Body))
 	}
+	c.numberExchange(req)
 	req.Header.Set(HeaderWorkspace, string(r.Workspace))
 	if r.Deadline > 0 {
 		remaining := max(r.Deadline-c.timer.Now(), 0)
@@ -232,11 +270,15 @@
 	if err != nil {
 		return core.Health{}, errors.Wrap(err, "server: health probe failed")
 	}
+	c.numberExchange(req)
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return core.Health{}, errors.Wrap(err, "server: health probe failed")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := checkExchange(req, resp); err != nil {
+		return core.Health{}, errors.Wrap(err, "server: health probe failed")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return core.Health{Load: -1}, nil
 	}
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -164,6 +165,69 @@
 	require.NoError(t, resp.Body.Close())
 }
 
+// Guards against a late second copy of an answer that is returned for the next
+// request on the connection, if the server repeats the number of the exchange.
+func TestLateCopyIsNotTheNextAnswer(t *testing.T) {
+	for name, lateBody := range map[string]string{"body": "late", "no body": ""} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = l.Close() }()
+			answer := func(conn net.Conn, exchange, body string) {
+				writeText(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nAzurering-Exchange: %s\r\nContent-Length: %d\r\n\r\n%s", exchange, len(body), body))
+			}
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = conn.Close() }()
+						r := bufio.NewReader(conn)
+						previous := ""
+						for {
+							req, err := http.ReadRequest(r)
+							if err != nil {
+								return
+							}
+							exchange := req.Header.Get(server.HeaderExchange)
+							if previous != "" {
+								answer(conn, previous, lateBody)
+							}
+							answer(conn, exchange, "own "+req.URL.Path)
+							previous = exchange
+						}
+					}()
+				}
+			}()
+			target := core.Server{Name: "s", Address: l.Addr().String()}
+			client := server.New(server.Config{Timer: timer.NewReal()})
+			send := func(path string) (string, error) {
+				r := orderRequest()
+				r.Path = path
+				resp, err := client.Send(context.Background(), target, r)
+				if err != nil {
+					return "", err
+				}
+				require.Empty(t, resp.Header.Get(server.HeaderExchange), "callers do not see it")
+				body, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				return string(body), nil
+			}
+			first, err := send("/first")
+			require.NoError(t, err)
+			require.Equal(t, "own /first", first)
+			_, err = send("/second")
+			require.Equal(t, core.SendUnknown, stateOf(t, err), "the server may have run it")
+			third, err := send("/third")
+			require.NoError(t, err, "on a new connection")
+			require.Equal(t, "own /third", third)
+		})
+	}
+}
+
 // Guards against a backend server getting a workspace header that the caller
 // set, a wrong deadline or no idempotency key.
 func TestHeadersAtBackend(t *testing.T) {
