entry, caller: answer accepted requests at the end of a planned stop

Operators of similar systems told of requests that were accepted just before a planned stop and cut off without an answer. `azurering entry` refused new requests, waited for those that it served, returned its loans and its seat, and then closed all connections at once: a request that it was reading or refusing at that moment was cut, and its caller could not know whether it ran. Callers were not told to leave their connections either, so that they used them until the end.

Refusals of a leaving host end their connection, and the listeners wait up to a second for requests that have been accepted. A request whose head is on its way on an idle connection when that closes is still lost; net/http offers no way to see it.

--- a/app/entry/serve.go
+++ b/app/entry/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,7 +29,12 @@
 	"azurering/io/setup"
 )
 
-const planPeriod = time.Second
+const (
+	planPeriod = time.Second
+	// closeTimeout bounds the end of the last requests, which are refused. Those that
+	// the host serves have ended before.
+	closeTimeout = time.Second
+)
 
 var serveModule = fx.Module("serve",
 	fx.Provide(
@@ -237,13 +243,32 @@
 		OnStart: func(context.Context) error { return l.start(cfg) },
 		OnStop: func(ctx context.Context) error {
 			st.runStop(ctx)
-			_ = l.caller.Close()
-			_ = l.admin.Close()
-			return l.peer.Close()
+			wait := closeTimeout
+			if st.killed.Load() {
+				wait = 0
+			}
+			l.close(wait)
+			return nil
 		},
 	})
 }
 
+// close closes the listeners. Requests that the host has accepted get their answers
+// first, for up to the given time.
+func (l *listeners) close(wait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, s := range []*http.Server{l.caller, l.admin, l.peer} {
+		all.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close() // the rest is cut
+			}
+		})
+	}
+	all.Wait()
+}
+
 func (l *listeners) start(cfg Config) error {
 	s := cfg.Settings
 	for _, spec := range []struct {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -141,6 +141,7 @@
 func (h *Handler) serveRequest(c *gin.Context) {
 	start := time.Now()
 	if h.cfg.ShuttingDown() {
+		c.Header("Connection", "close") // or the caller's next request may meet the end of the process
 		h.writeError(c, "", codes.New(codes.HostLeaving, "caller: the entry host is shutting down; use another one"))
 		return
 	}
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -183,6 +183,16 @@
 	}
 }
 
+// Guards against callers that keep using a connection until the host closes it at the
+// end of a planned stop, when a request may already be on its way.
+func TestRefusalsOfALeavingHostEndTheConnection(t *testing.T) {
+	for _, leaving := range []bool{true, false} {
+		s := startServer(t, &fakeDeps{ready: true, leaving: leaving})
+		resp, body := do(t, "GET", s.URL+"/s/desk/q", "")
+		require.Equal(t, leaving, resp.Close, body)
+	}
+}
+
 // Guards against a key that is forwarded to a backend server, and against
 // removal of parts of a request that contain no key.
 func TestKeysAreRemoved(t *testing.T) {
