--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,13 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"azurering/core"
@@ -407,77 +404,6 @@
 	}
 }
 
-// Guards against hosts that together keep more connections to a server than it
-// accepts: each keeps a few idle ones only. The least that a deployment of the users
-// allows is 20 for each host.
-func TestFewConnectionsStayIdle(t *testing.T) {
-	const atOnce, maxIdle = 30, 4
-	release := make(chan struct{})
-	s, opened := startServer(t, func(c net.Conn, r *http.Request) bool {
-		<-release
-		return echo(c, r)
-	})
-	p := newPool()
-	done := make(chan error, atOnce)
-	for i := range atOnce {
-		go func() {
-			_, _, err := exchange(p, s, call(fmt.Sprint(i)))
-			done <- err
-		}()
-	}
-	require.Eventually(t, func() bool { return opened.Load() == atOnce }, 10*time.Second, time.Millisecond)
-	close(release)
-	for range atOnce {
-		require.NoError(t, <-done)
-	}
-	require.Eventually(t, func() bool { return p.NumConns() == maxIdle }, 10*time.Second, time.Millisecond)
-}
-
-// Guards against hosts that together keep more idle connections to a server than it
-// accepts connections, if those are few or the hosts many.
-func TestHostsTogetherStayWithinTheConnectionsOfAServer(t *testing.T) {
-	const maxConns = 12
-	for _, hosts := range []int{2, 6, 20} {
-		s, _ := startServer(t, echo)
-		pools := make([]*conns.Pool, hosts)
-		idle := func() int {
-			n := 0
-			for _, p := range pools {
-				n += p.NumConns()
-			}
-			return n
-		}
-		send := func() {
-			var group sync.WaitGroup
-			for _, p := range pools {
-				for range 5 {
-					group.Go(func() {
-						_, _, err := exchange(p, s, call("1"))
-						assert.NoError(t, err)
-					})
-				}
-			}
-			group.Wait()
-		}
-		for i := range pools {
-			pools[i] = newPool()
-		}
-		send()
-		for range 2 { // the limit applies to connections that are idle, and to those that become idle
-			for _, p := range pools {
-				p.Trim(map[core.ServerID]int{s.Name: maxConns / hosts})
-			}
-			require.Eventually(t, func() bool { return idle() <= maxConns/2 }, 10*time.Second, time.Millisecond, "%d hosts", hosts)
-			send()
-			require.Eventually(t, func() bool { return idle() <= maxConns/2 }, 10*time.Second, time.Millisecond, "%d hosts", hosts)
-		}
-		for _, p := range pools {
-			p.Trim(nil)
-		}
-		require.Eventually(t, func() bool { return idle() == 0 }, 10*time.Second, time.Millisecond, "the server is not listed any more")
-	}
-}
-
 // panicDialect panics on a header of a response.
 type panicDialect struct{ dialect }
 
@@ -521,57 +447,3 @@
 	require.True(t, isHealthy)
 	require.Equal(t, 1500*time.Millisecond, meta.WarmupLeft)
 }
-
-// slowReader runs a server that reads nothing of a connection for the given time.
-// The little that its socket takes meanwhile leaves data of a large request
-// unacknowledged.
-func slowReader(t *testing.T, silence time.Duration) core.Instance {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
-			go func() {
-				time.Sleep(silence)
-				serveConn(c, func(c net.Conn, r *http.Request) bool {
-					n, err := io.Copy(io.Discard, r.Body)
-					return err == nil && writeString(c, response(r.Header.Get("Call-Id"), "", strconv.FormatInt(n, 10)))
-				})
-			}()
-		}
-	}()
-	return core.Instance{Server: core.Server{Name: "i-1", Address: l.Addr().String(), Slots: 3}}
-}
-
-// Guards against an order that is given up while its server runs it, because the
-// server acknowledged nothing for a while. Requests that may run again are sent to
-// another server instead.
-func TestOrderOutlivesTheSilenceOfItsServer(t *testing.T) {
-	s := slowReader(t, 3*time.Second)
-	p := newPool()
-	body := bytes.Repeat([]byte("x"), 1<<20)
-	var group sync.WaitGroup
-	for _, atMostOnce := range []bool{true, false} {
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-			defer cancel()
-			c := call("a")
-			c.Method, c.Body, c.ContentLength = "POST", body, int64(len(body))
-			reply, _, err := p.Exchange(ctx, s, c, core.ForwardInfo{Server: s.Name, AtMostOnce: atMostOnce})
-			if !atMostOnce {
-				assert.Error(t, err)
-				return
-			}
-			if assert.NoError(t, err) {
-				assert.Equal(t, strconv.Itoa(len(body)), string(reply.Body))
-			}
-		})
-	}
-	group.Wait()
-}
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -69,7 +69,7 @@
 func New(cfg Config) *Pool {
 	if cfg.Dial == nil {
 		dialer := &net.Dialer{KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
-			return rawSocket(raw, setUnackedTimeout(unackedTimeout))
+			return withRawSocket(raw, setUnackedTimeout(unackedTimeout))
 		}}
 		cfg.Dial = dialer.DialContext
 	}
--- a/io/conns/silent.go
+++ b/io/conns/silent.go
@@ -22,8 +22,8 @@
 
 var errNotTCP = errors.New("conns: connection has no socket")
 
-// socket calls f with the file descriptor of a connection.
-func socket(c net.Conn, f func(fd int) error) error {
+// withSocket calls f with the file descriptor of a connection.
+func withSocket(c net.Conn, f func(fd int) error) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return errNotTCP
@@ -32,10 +32,10 @@
 	if err != nil {
 		return errors.Wrap(err, "conns: cannot access the socket")
 	}
-	return rawSocket(raw, f)
+	return withRawSocket(raw, f)
 }
 
-func rawSocket(raw syscall.RawConn, f func(fd int) error) error {
+func withRawSocket(raw syscall.RawConn, f func(fd int) error) error {
 	var callErr error
 	if err := raw.Control(func(fd uintptr) { callErr = f(int(fd)) }); err != nil {
 		return errors.Wrap(err, "conns: cannot access the socket")
@@ -55,7 +55,7 @@
 // readUnacked returns the number of segments sent on a connection that the other side
 // has not acknowledged.
 func readUnacked(c net.Conn) (n int, err error) {
-	err = socket(c, func(fd int) error {
+	err = withSocket(c, func(fd int) error {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err != nil {
 			return errors.Wrap(err, "conns: cannot read TCP_INFO")
@@ -82,7 +82,7 @@
 	if _, err := p.unacked(c.Conn); err != nil {
 		return
 	}
-	if socket(c.Conn, setUnackedTimeout(atMostOnceUnackedTimeout)) != nil {
+	if withSocket(c.Conn, setUnackedTimeout(atMostOnceUnackedTimeout)) != nil {
 		return // the connection has been closed
 	}
 	p.mu.Lock()
@@ -109,14 +109,13 @@
 	delete(p.extended, c)
 	p.mu.Unlock()
 	if ok {
-		_ = socket(c.Conn, setUnackedTimeout(unackedTimeout)) // fails only if the connection has been closed
+		_ = withSocket(c.Conn, setUnackedTimeout(unackedTimeout)) // fails only if the connection has been closed
 	}
 }
 
 // SilentServers returns the servers that have not acknowledged a whole request for
 // unackedTimeout, on connections that wait all the same because the request must not
-// run again. It reports each request once. The owner calls it
-// several times a second.
+// run again. It reports each request once. The owner calls it several times a second.
 func (p *Pool) SilentServers() []core.Instance {
 	now := p.cfg.Timer.Now()
 	p.mu.Lock()
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,11 +25,17 @@
 // each, which may write any bytes. It returns the server and the number of
 // requests read.
 func startRawServer(t *testing.T, answer func(conn net.Conn, n int64)) (core.Server, *atomic.Int64) {
+	t.Helper()
+	var count atomic.Int64
+	return startRequestServer(t, func(conn net.Conn, _ *http.Request) { answer(conn, count.Add(1)) }), &count
+}
+
+// startRequestServer is startRawServer with an answer that depends on the request.
+func startRequestServer(t *testing.T, answer func(net.Conn, *http.Request)) core.Server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	var count atomic.Int64
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -44,12 +51,12 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, req.Body)
-					answer(conn, count.Add(1))
+					answer(conn, req)
 				}
 			}()
 		}
 	}()
-	return core.Server{Name: "s", Address: l.Addr().String()}, &count
+	return core.Server{Name: "s", Address: l.Addr().String()}
 }
 
 func writeText(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
@@ -170,38 +177,17 @@
 func TestLateCopyIsNotTheNextAnswer(t *testing.T) {
 	for name, lateBody := range map[string]string{"body": "late", "no body": ""} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = l.Close() }()
 			answer := func(conn net.Conn, exchange, body string) {
 				writeText(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nAzurering-Exchange: %s\r\nContent-Length: %d\r\n\r\n%s", exchange, len(body), body))
 			}
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer func() { _ = conn.Close() }()
-						r := bufio.NewReader(conn)
-						previous := ""
-						for {
-							req, err := http.ReadRequest(r)
-							if err != nil {
-								return
-							}
-							exchange := req.Header.Get(server.HeaderExchange)
-							if previous != "" {
-								answer(conn, previous, lateBody)
-							}
-							answer(conn, exchange, "own "+req.URL.Path)
-							previous = exchange
-						}
-					}()
+			var previous sync.Map // number of the previous exchange, by connection
+			target := startRequestServer(t, func(conn net.Conn, r *http.Request) {
+				exchange := r.Header.Get(server.HeaderExchange)
+				if earlier, ok := previous.Swap(conn, exchange); ok {
+					answer(conn, earlier.(string), lateBody)
 				}
-			}()
-			target := core.Server{Name: "s", Address: l.Addr().String()}
+				answer(conn, exchange, "own "+r.URL.Path)
+			})
 			client := server.New(server.Config{Timer: timer.NewReal()})
 			send := func(path string) (string, error) {
 				r := orderRequest()
