--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -272,11 +272,12 @@
 		s.w.rec.addShed(id, s.id)
 		return c.send(id, answer{status: http.StatusServiceUnavailable, header: [][2]string{{"Request-Id", id}, {"Not-Executed", "1"}}})
 	}
-	defer s.leave()
 	s.w.rec.addRun(execution{id: id, server: s.id, body: body})
 	time.Sleep(s.work)
+	load := s.load()
+	s.leave()
 	return c.send(id, answer{
-		status: http.StatusOK, header: [][2]string{{"Request-Id", id}, {"Server-Stamp", s.id + "." + id}, {"Server-Load", s.load()}},
+		status: http.StatusOK, header: [][2]string{{"Request-Id", id}, {"Server-Stamp", s.id + "." + id}, {"Server-Load", load}},
 		body: answerBody(s.id, id, s.answerBytes),
 	})
 }
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,6 +28,7 @@
 	lookupPort  = 8665
 	peerPort    = 7220
 	lastPort    = 7235
+	metricsPort = 9464
 )
 
 const (
@@ -155,6 +157,9 @@
 	return raw
 }
 
+// connectionGauge finds the gauges of open connections among the metrics of a host.
+var connectionGauge = regexp.MustCompile(`(?m)^azurering_(?:caller|server)_connections.*$`)
+
 // runLine finds the command of the role in the deploy file.
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
 
@@ -217,6 +222,22 @@
 	return w.exits
 }
 
+// noteConnections records how many connections the hosts say are open.
+func (w *world) noteConnections() {
+	for _, h := range w.hosts {
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", h.ip, metricsPort))
+		if err != nil {
+			w.rec.note("also", "host %s: %s", h.name, err)
+			continue
+		}
+		text, _ := io.ReadAll(resp.Body) // what is there is recorded
+		_ = resp.Body.Close()
+		for _, line := range connectionGauge.FindAllString(string(text), -1) {
+			w.rec.note("also", "host %s, all clients are gone: %s", h.name, line)
+		}
+	}
+}
+
 // close ends the hosts and the stand-ins.
 func (w *world) close() {
 	w.mu.Lock()
