--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -68,6 +68,13 @@
 	w.rec.note("trouble", "%s is over", name)
 }
 
+// disturbAgain applies faults to the first servers several times, with pauses before each.
+func (w *world) disturbAgain(name string, servers int, f faults, times int, pause, length time.Duration) {
+	for range times {
+		w.disturb(name, servers, f, pause, length)
+	}
+}
+
 // grey is srv_grey (shed) with the dose of the site: a share of 0.14 of the servers
 // rejects 0.45 of the requests for 6.5 s.
 func (w *world) grey() {
@@ -130,11 +137,7 @@
 		const bouts, length, pause = 6, 5 * time.Second, 5 * time.Second
 		var group sync.WaitGroup
 		if trouble {
-			group.Go(func() {
-				for range bouts {
-					w.disturb("garble (extra late) x=0.03", 4, faults{garble: 0.03}, pause, length)
-				}
-			})
+			group.Go(func() { w.disturbAgain("garble (extra late) x=0.03", 4, faults{garble: 0.03}, bouts, pause, length) })
 		}
 		group.Go(func() {
 			w.runClients(36, bouts*(length+pause), 4*time.Millisecond, func() request {
@@ -152,18 +155,14 @@
 // lateShed: as lateHealth, at servers that are often full. Of the answers that they
 // garble, those to health checks come a second time, and the others are broken off.
 var lateShed = scenario{
-	config: orderConfig, servers: fleet(8, serverConfig{slots: 3, queue: 1, work: 12 * time.Millisecond, answerBytes: smallAnswer}),
+	config: orderConfig, servers: fleet(8, serverConfig{slots: 3, queue: 9, work: 6 * time.Millisecond, answerBytes: smallAnswer}),
 	play: func(w *world, trouble bool) {
-		const bouts, length, pause = 10, 5 * time.Second, 2 * time.Second
+		const bouts, length, pause = 6, 5 * time.Second, 2 * time.Second
 		var group sync.WaitGroup
 		if trouble {
-			group.Go(func() {
-				for range bouts {
-					w.disturb("garble (extra late) x=0.03", 4, faults{checks: 0.03}, pause, length)
-				}
-			})
+			group.Go(func() { w.disturbAgain("garble (extra late) x=0.03", 4, faults{checks: 0.03}, bouts, pause, length) })
 		}
-		group.Go(func() { w.runClients(48, bouts*(length+pause), 2*time.Millisecond, smallOrder) })
+		group.Go(func() { w.runClients(110, bouts*(length+pause), 2*time.Millisecond, smallOrder) })
 		group.Wait()
 	},
 	judge: judgeTwice,
@@ -176,11 +175,7 @@
 		const bouts, length, pause = 4, 5 * time.Second, 3 * time.Second
 		var group sync.WaitGroup
 		if trouble {
-			group.Go(func() {
-				for range bouts {
-					w.disturb("garble x=0.03", 3, faults{stall: 0.03}, pause, length)
-				}
-			})
+			group.Go(func() { w.disturbAgain("garble x=0.03", 3, faults{stall: 0.03}, bouts, pause, length) })
 		}
 		group.Go(func() {
 			w.runClients(15, bouts*(length+pause)+5*time.Second, 100*time.Millisecond, func() request {
