--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -172,10 +172,10 @@
 var stalledFetch = scenario{
 	config: config, servers: fleet(6, serverConfig{slots: 6, queue: 9, work: 30 * time.Millisecond, answerBytes: largeAnswer}),
 	play: func(w *world, trouble bool) {
-		const bouts, length, pause = 4, 5 * time.Second, 3 * time.Second
+		const bouts, length, pause = 6, 5 * time.Second, 2 * time.Second
 		var group sync.WaitGroup
 		if trouble {
-			group.Go(func() { w.disturbAgain("garble x=0.03", 3, faults{stall: 0.03}, bouts, pause, length) })
+			group.Go(func() { w.disturbAgain("garble x=0.02", 3, faults{stall: 0.02}, bouts, pause, length) })
 		}
 		group.Go(func() {
 			w.runClients(15, bouts*(length+pause)+5*time.Second, 100*time.Millisecond, func() request {
