edge, metric: tell how long a host lacked changes that others had

The lines of event catchup now have the time for which the host knew that it lacked changes, and the counter azurering_catchup_late counts changes that came more than a quarter of a second after the host had heard of them.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -27,6 +27,7 @@
 // covers calls to the store that got no answer.
 func (h *host) runCatchUp(ctx context.Context, table core.FeedTable) {
 	failed := false // the last attempt to fetch what is missing now failed
+	heard := h.timer.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,7 +36,7 @@
 		}
 		m := h.state.mirrors[table]
 		if from, _, _ := h.missing(table); from == "" {
-			failed = false
+			failed, heard = false, h.timer.Now()
 			continue
 		}
 		if h.members.FollowsStore() {
@@ -48,14 +49,22 @@
 		}
 		c, err := h.fetch(ctx, from, table, asOf, failed)
 		failed = err != nil
-		log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": table, "own": asOf, "newest": newest, "from": from})
+		log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": table, "own": asOf, "newest": newest, "from": from, "lacking": (h.timer.Now() - heard).Milliseconds()})
 		if err != nil {
 			log.WithError(err).Warn("edge: fetching changes from another host failed; trying another one that has them")
 			h.members.ClearVersions(from)
 			wake(h.catchUpWake[table])
 			continue
 		}
-		log.WithField("adopted", m.Merge(c)).Debug("edge: changes fetched from another host")
+		log = log.WithField("adopted", m.Merge(c))
+		lacking := h.timer.Now() - heard
+		heard = h.timer.Now()
+		if lacking < catchUpDelay {
+			log.Debug("edge: changes fetched from another host")
+			continue
+		}
+		h.metrics.CountLateChange(table)
+		log.Info("edge: changes fetched from another host, late")
 	}
 }
 
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -40,6 +40,7 @@
 	permits  metric.Int64Counter
 	loans    metric.Int64Counter
 	entries  metric.Int64Counter
+	late     metric.Int64Counter
 }
 
 // New returns metrics with a new Prometheus registry.
@@ -75,6 +76,7 @@
 		{&m.invalid, "azurering_invalid_limits", "Answers whose limit of requests per second cannot be used."},
 		{&m.permits, "azurering_permits", "Requests for permits to use servers that name a limit, by result."},
 		{&m.loans, "azurering_loans", "Requests to other hosts for a part of a workspace's rate, by result."},
+		{&m.late, "azurering_catchup_late", "Changes of the store's tables that reached this host later than a quarter of a second after it had heard of them, by table."},
 		{&m.entries, "azurering_invalid_entries", "Entries of the store's tables that cannot be used, by table."},
 	}
 	for _, c := range counters {
@@ -125,6 +127,11 @@
 	m.entries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", string(table))))
 }
 
+// CountLateChange counts changes of a table that this host learned late.
+func (m *Metrics) CountLateChange(table core.FeedTable) {
+	m.late.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", string(table))))
+}
+
 // CountLoan counts a request to another host for a part of a workspace's rate.
 func (m *Metrics) CountLoan(result string) {
 	m.loans.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
