--- a/app/edge/catchup_test.go
+++ b/app/edge/catchup_test.go
@@ -17,6 +17,7 @@
 	"azurering/core/mirror"
 	"azurering/core/timer"
 	"azurering/io/beacon"
+	"azurering/io/metric"
 )
 
 // follower returns a host that knows one other host, the first of its domain,
@@ -80,3 +81,51 @@
 	h.catchUpWake[core.FeedServers] <- struct{}{}
 	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf == 5 }, 20*time.Second, 5*time.Millisecond)
 }
+
+// Guards against requests to a server that has left, because several hosts in
+// turn do not answer when this host asks them for the change: the waits for them
+// must not add up to more than the time within which a leave must be in force.
+func TestLeaveArrivesInTimeAlthoughSeveralHostsAreSilent(t *testing.T) {
+	const silentHosts = 6
+	l := startedList(t, timer.NewManual())
+	l.next()
+	source := newServerList(t, l.clock, core.HostSettings{})
+	require.True(t, source.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-2", 5)}, Version: 5, Newest: 5}))
+	port := "0"
+	for i := range silentHosts + 1 {
+		listener, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprint("127.9.2.", i+1), port))
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		_, port, err = net.SplitHostPort(listener.Addr().String())
+		require.NoError(t, err)
+		if i == silentHosts {
+			server := &http.Server{Handler: beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: source.mirror})}
+			go func() { _ = server.Serve(listener) }()
+			defer func() { _ = server.Close() }()
+		}
+	}
+	h := follower(t, l, 0)
+	h.timer, h.cfg.Log = l.clock, logrus.New()
+	var err error
+	h.cfg.Place.PeerPort, err = strconv.Atoi(port)
+	require.NoError(t, err)
+	h.metrics, err = metric.New()
+	require.NoError(t, err)
+	h.catchUpWake = map[core.FeedTable]chan struct{}{core.FeedServers: make(chan struct{}, 1)}
+	for i := range silentHosts + 1 {
+		h.members.Receive(gossip.Digest{Domain: "e", Heartbeats: []gossip.Heartbeat{{
+			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "e", Address: fmt.Sprint("127.9.2.", i+1), Seq: 1,
+			Versions: map[core.FeedTable]uint64{core.FeedServers: 5},
+		}}})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go h.runCatchUp(ctx, core.FeedServers)
+	h.catchUpWake[core.FeedServers] <- struct{}{}
+	learned := func() bool { asOf, _ := l.mirror.Versions(); return asOf == 5 }
+	for until := l.clock.Now() + 1200*time.Millisecond; l.clock.Now() < until && !learned(); l.clock.Advance(10 * time.Millisecond) {
+		time.Sleep(time.Millisecond)
+	}
+	// The last host has been asked by now; its answer takes real time.
+	require.Eventually(t, learned, 5*time.Second, 5*time.Millisecond)
+}
--- a/app/edge/leave_test.go
+++ b/app/edge/leave_test.go
@@ -86,6 +86,8 @@
 	feed   *steppedFeed
 	mirror *mirror.Mirror
 	view   *picker.Picker
+
+	members *gossip.Members
 }
 
 func newServerList(t *testing.T, clock *timer.Manual, place core.HostSettings) *serverList {
@@ -100,6 +102,7 @@
 	}}}
 	l := &serverList{t: t, clock: clock, feed: &steppedFeed{calls: make(chan storeCall)}}
 	members := gossip.New(gossip.Config{Timer: clock, Self: gossip.Heartbeat{Host: "own", Domain: "d"}})
+	l.members = members
 	metrics, err := metric.New()
 	require.NoError(t, err)
 	w := newClusterState(cfg, clock, l.feed, quota.New(quota.Config{Timer: clock}), members, metrics)
@@ -294,3 +297,50 @@
 		require.Equal(t, long, l.uses(), name)
 	}
 }
+
+// Guards against keeping a server that left because nothing had changed for some
+// time before one call failed: the store answers a long poll only when it ends,
+// and that time is no outage in which entries expire.
+func TestQuietTimeIsNoOutage(t *testing.T) {
+	for waited := 200 * time.Millisecond; waited < longPollWait; waited += 400 * time.Millisecond {
+		l := newServerList(t, timer.NewManual(), core.HostSettings{ServerHeartbeat: 1500 * time.Millisecond})
+		l.start(1, "i-1")
+		poll := l.next()
+		for until := l.clock.Now() + waited; l.clock.Now() < until && poll.ctx.Err() == nil; l.clock.Advance(10 * time.Millisecond) {
+			time.Sleep(100 * time.Microsecond)
+		}
+		poll.fail(l.clock, 0)
+		l.next().reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+		l.next()
+		require.False(t, l.uses(), "poll that failed after %s", waited)
+	}
+}
+
+// Guards against a host that goes on using an old list of servers because the
+// host that reads the store for it has stopped doing so, or no news reach it:
+// nothing tells it that it has missed a change.
+func TestHostThatHearsNothingOfTheStoreReadsItInTime(t *testing.T) {
+	const maxSilence = 1200 * time.Millisecond
+	l := startedList(t, timer.NewManual())
+	l.next().fail(l.clock, 0)
+	again := l.next()
+	hear := func(seq uint64) {
+		l.members.Receive(gossip.Digest{Domain: "d", Heartbeats: []gossip.Heartbeat{{Host: "first", Domain: "d", Address: "127.0.0.1", Seq: seq}}})
+	}
+	hear(1)
+	began := l.clock.Now()
+	again.reply <- storeReply{records: core.Records{Version: 1}}
+	for seq := uint64(2); l.clock.Now() < began+maxSilence; l.clock.Advance(10 * time.Millisecond) {
+		if (l.clock.Now()-began)%(400*time.Millisecond) < 10*time.Millisecond {
+			hear(seq)
+			seq++
+		}
+		select {
+		case c := <-l.feed.calls:
+			require.EqualValues(t, 1, c.after)
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	require.Fail(t, "the host relied on a host that does not read the store")
+}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -295,3 +295,41 @@
 	l.run(t)
 	require.Equal(t, []time.Duration{time.Second, 0, 0, time.Second, time.Second}, l.feed.waits)
 }
+
+// Guards against going back to an older state of the table: a listing that the
+// store answers from an earlier version must not bring back removed rows.
+func TestOlderListingIsNotApplied(t *testing.T) {
+	dropped := response{err: codes.New(codes.StoreAbsent, "gone")}
+	l := newFixture(records(10, row("a", 3), row("b", 4)), records(20, removal("b", 20)), dropped,
+		records(15, row("a", 3), row("b", 4)), records(30, row("a", 3), row("c", 25)))
+	l.run(t)
+	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "b", removed: true}, {key: "c"}}, l.events)
+	asOf, _ := l.mirror.Versions()
+	require.EqualValues(t, 30, asOf)
+}
+
+// Guards against the same through the copy of another host, which is taken while
+// the table must be listed again.
+func TestOlderCopyIsNotMergedAfterLostHistory(t *testing.T) {
+	dropped := response{err: codes.New(codes.StoreAbsent, "gone")}
+	down := response{err: codes.New(codes.StoreDown, "down")}
+	l := newFixture(records(10, row("a", 3), row("b", 4)), records(20, removal("b", 20)), dropped, down)
+	l.run(t)
+	require.False(t, l.mirror.Merge(mirror.Snapshot{Version: 15, Newest: 10, Rows: []core.Record{row("a", 3), row("b", 4)}}))
+	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "b", removed: true}}, l.events)
+}
+
+// Guards against copies that grow with each change of the same row. During a
+// storm of large configurations they would take longer to fetch than the next
+// configuration takes to come, and would not fit into a message at last.
+func TestCopyHoldsOnlyTheNewestChangeOfEachRow(t *testing.T) {
+	responses := []response{records(10, row("config", 3), row("b", 4))}
+	for v := uint64(11); v <= 60; v++ {
+		responses = append(responses, records(v, row("config", v)))
+	}
+	l := newFixture(append(responses, records(61, removal("b", 61)))...)
+	l.run(t)
+	require.Equal(t, []core.Record{row("config", 60), removal("b", 61)}, l.mirror.Snapshot(10).Rows)
+	require.Equal(t, []core.Record{row("config", 60), removal("b", 61)}, l.mirror.Snapshot(40).Rows)
+	require.Equal(t, []core.Record{removal("b", 61)}, l.mirror.Snapshot(60).Rows)
+}
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -290,6 +290,35 @@
 	require.Equal(t, codes.NoServer, codes.Of(err))
 }
 
+// Guards against taking a server that has left for a new one, when a report that it
+// wrote before reaches the store after its entry was removed. Its next report, or
+// its next start, must still count.
+func TestLateReportOfARemovedServerIsIgnored(t *testing.T) {
+	for name, leaves := range map[string]bool{"reported that it leaves": true, "was removed only": false} {
+		env := newTestEnv("h1", "a")
+		last := instance(1, "a")
+		last.Sequence = 9
+		if leaves {
+			last.State = core.InstanceDraining
+		}
+		env.view.Update(last)
+		env.view.Remove("i-1", 0)
+		env.clock.Advance(6 * time.Second)
+		env.view.Tick()
+		late := instance(1, "a")
+		late.Sequence = 8
+		require.Equal(t, picker.EntryOlder, env.view.Update(late), name)
+		require.Zero(t, env.countAccepted(100*time.Millisecond), name)
+		next := instance(1, "a")
+		next.Sequence = 10
+		require.Equal(t, picker.EntryChanged, env.view.Update(next), name)
+		env.view.Remove("i-1", 0)
+		again := instance(1, "a")
+		again.StartedMs, again.Sequence = 2000, 1
+		require.Equal(t, picker.EntryChanged, env.view.Update(again), name)
+	}
+}
+
 // Guards against ignoring that a server leaves because its clock was set back
 // before it started again: its start then seems to be earlier than the known one.
 // A report that it is ready must still not bring back a server of an earlier
