picker: ignore old reports of a server whose entry was removed

What callers saw: nothing yet. A report that a server wrote before it left, and that the store takes seconds later, made the server ready again: the entry was compared with the known one only while that was listed. The last report of a removed server is now kept for a minute; an entry of the same start with a lower sequence is ignored. Entries of other starts count as before, so that a server whose clock was set back is still found.

--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -30,6 +30,10 @@
 	maxCheckDelay = 2 * time.Second
 	// coldMargin extends the cold time to cover the age of the entry.
 	coldMargin = 300 * time.Millisecond
+	// lateReportTime is how long after the removal of a server's entry an older report
+	// of the server is told from a newer one. A write that got no answer may take
+	// effect seconds later.
+	lateReportTime = time.Minute
 )
 
 // Config configures a Picker. Timer, DomainHosts, Service and RequestCheck are
@@ -63,6 +67,7 @@
 
 	mu              sync.Mutex
 	servers         map[core.ServerID]*server
+	removed         map[core.ServerID]lastReport // servers whose entries were removed
 	services        map[core.ServiceID][]*server // listed and ready servers
 	servicesStale   bool                         // entries changed since services and the weights were computed
 	evacuated       map[core.DomainID]bool
@@ -98,11 +103,18 @@
 	limitLoggedAt  time.Duration // last change of limit that was reported as not frequent
 }
 
+// lastReport is the last entry of a server that is not listed any more.
+type lastReport struct {
+	core.Instance
+	removedAt time.Duration
+}
+
 // New returns a view without servers.
 func New(cfg Config) *Picker {
 	return &Picker{
 		cfg:             cfg,
 		servers:         make(map[core.ServerID]*server),
+		removed:         make(map[core.ServerID]lastReport),
 		services:        make(map[core.ServiceID][]*server),
 		evacuated:       make(map[core.DomainID]bool),
 		processingTimes: make(map[core.ServiceID]time.Duration),
@@ -128,13 +140,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.servers[i.Name]
+	if s != nil && s.listed && isOlder(i, s.Instance) || v.isLateReport(i) {
+		return EntryOlder
+	}
+	delete(v.removed, i.Name)
 	if s == nil {
 		s = &server{hash: hashName(string(i.Name))}
 		v.servers[i.Name] = s
 	}
-	if s.listed && s.isOlder(i) {
-		return EntryOlder
-	}
 	unchanged := s.listed && s.Instance == i && s.expiresAt == 0
 	restarted := s.Name != "" && (s.StartedMs != i.StartedMs || s.Address != i.Address)
 	if restarted {
@@ -154,15 +167,22 @@
 	return EntryChanged
 }
 
+// isLateReport reports whether an entry was written before the last one of the same
+// start of a server whose entry has been removed.
+func (v *Picker) isLateReport(i core.Instance) bool {
+	last, ok := v.removed[i.Name]
+	return ok && i.StartedMs > 0 && i.StartedMs == last.StartedMs && i.Sequence < last.Sequence
+}
+
 // isOlder reports whether an entry was written before the known one. Clocks can be
 // set back between two starts of a server, so an earlier start does not show that
 // for sure. The entry counts then if the server leaves: taking a server that
 // stays for one that leaves lasts only until its next report.
-func (s *server) isOlder(i core.Instance) bool {
-	if i.StartedMs == s.StartedMs {
-		return i.Sequence < s.Sequence
+func isOlder(i, known core.Instance) bool {
+	if i.StartedMs == known.StartedMs {
+		return i.Sequence < known.Sequence
 	}
-	return i.StartedMs < s.StartedMs && i.State != core.InstanceDraining
+	return i.StartedMs < known.StartedMs && i.State != core.InstanceDraining
 }
 
 func (v *Picker) coldFor(service core.ServiceID) time.Duration {
@@ -189,11 +209,12 @@
 		}
 		return
 	}
-	v.unlist(s)
+	v.unlist(now, s)
 }
 
-func (v *Picker) unlist(s *server) {
+func (v *Picker) unlist(now time.Duration, s *server) {
 	s.listed = false
+	v.removed[s.Name] = lastReport{Instance: s.Instance, removedAt: now}
 	if s.inFlight == 0 {
 		delete(v.servers, s.Name)
 	}
@@ -212,7 +233,7 @@
 	defer v.mu.Unlock()
 	for _, s := range v.servers {
 		if s.listed && s.isExpired(now) {
-			v.unlist(s)
+			v.unlist(now, s)
 			dropped = append(dropped, s.Name)
 			continue
 		}
@@ -220,6 +241,11 @@
 			v.requestCheck(now, s)
 		}
 	}
+	for id, last := range v.removed {
+		if now >= last.removedAt+lateReportTime {
+			delete(v.removed, id)
+		}
+	}
 	return dropped
 }
 
