mirror: send only the newest change of each row to other hosts

A host that lags behind fetches the changes after its version. These held each version of a row in between: 20 configurations of 60 KB are 1.2 MB where 60 KB would do, and a copy of more than 16 MB is refused by its receiver. During a storm of large configurations each fetch that took too long made the next one larger. TestCopyHoldsOnlyTheNewestChangeOfEachRow failed before.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -368,7 +368,9 @@
 	}
 	changes = lastOfEachKey(changes)
 	m.asOf = max(m.asOf, got.Version)
-	m.history = append(m.history, changes...)
+	// An older change of the same row is of no use to hosts that ask later, and
+	// rows can be large.
+	m.history = lastOfEachKey(append(m.history, changes...))
 	if over := len(m.history) - maxHistory; over > 0 {
 		m.historyStart = m.history[over-1].Version
 		m.history = append([]core.Record(nil), m.history[over:]...)
