edge, gossip: ask several hosts for missing changes at once

Cause: a host that does not read the store fetched changes from one host at a time, 0.5 s for the first attempt and 1.5 s for each later one, and asked first the host that reported the highest version, wherever it is. Two attempts without an answer, for example for two lost packets, are 2.0 s.

Change: the next host is asked after 150 ms without an answer, up to four at once, hosts of the own failure domain first. A host waits 60 ms for its own domain's report before it asks another domain. Any answer is taken as soon as it comes, so that silent hosts cost 150 ms each and not the sum of their timeouts.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -7,94 +7,175 @@
 	"github.com/sirupsen/logrus"
 
 	"azurering/core"
-	"azurering/core/mirror"
 	"azurering/io/beacon"
 )
 
 const (
-	// catchUpDelay is how long a host that lags behind another one waits
-	// before it fetches that host's copy: the answer of the store is usually
-	// on its way.
+	// catchUpDelay is how long a host that lags behind another one waits before it
+	// fetches changes: the answer of the store is usually on its way. localDelay is
+	// the same for a host that does not follow the store, if no host of its own
+	// domain has reported the change yet.
 	catchUpDelay = 250 * time.Millisecond
-	// fetchTimeout bounds the first attempt to fetch changes, because the other
-	// host may have frozen. Later attempts have the time that a whole table
-	// takes.
-	fetchTimeout = 500 * time.Millisecond
+	localDelay   = 60 * time.Millisecond
+	// hedgeDelay is how long a host waits for changes from one host before it also
+	// asks another one. The first one may have frozen, or a packet was lost.
+	hedgeDelay = 150 * time.Millisecond
+	// fetchTimeout bounds an attempt to fetch changes. Attempts to fetch a whole
+	// table have the time that it takes.
+	fetchTimeout = 600 * time.Millisecond
+	// maxFetches bounds the concurrent attempts.
+	maxFetches = int(fetchTimeout / hedgeDelay)
 )
 
 // runCatchUp fetches the changes of a table that other hosts have. Hosts that
 // do not follow the store learn all changes this way; for the others it
 // covers calls to the store that got no answer.
 func (h *host) runCatchUp(ctx context.Context, table core.FeedTable) {
-	failed := false // the last attempt to fetch what is missing now failed
-	heard := h.timer.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.catchUpWake[table]:
+			h.catchUp(ctx, table)
 		}
-		m := h.state.mirrors[table]
-		if from, _, _ := h.missing(table); from == "" {
-			failed, heard = false, h.timer.Now()
-			continue
-		}
-		if h.members.FollowsStore() {
-			// The store's own answer is on its way.
-			<-h.timer.After(catchUpDelay)
-		}
-		from, newest, asOf := h.missing(table)
-		if from == "" || asOf == 0 && h.members.FollowsStore() && !m.Failing() {
-			continue
+	}
+}
+
+// catchUp fetches changes of a table until this host has all that live hosts report.
+// It asks one host after the other without waiting for those that do not answer.
+func (h *host) catchUp(ctx context.Context, table core.FeedTable) {
+	heard, delay := h.timer.Now(), time.Duration(0)
+	switch from, _, _ := h.missing(table); {
+	case from == "":
+		return
+	case h.members.FollowsStore():
+		delay = catchUpDelay
+	case !h.members.IsLocal(from):
+		delay = localDelay
+	}
+	if delay > 0 {
+		<-h.timer.After(delay)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := fetches{host: h, table: table, heard: heard, asked: make(map[string]bool), done: make(chan fetched, maxFetches)}
+	for ctx.Err() == nil && f.next(ctx) {
+		hedge := hedgeDelay
+		if _, _, asOf := h.missing(table); asOf == 0 {
+			hedge = fetchTimeout // a whole table takes longer, and costs more to fetch twice
 		}
-		c, err := h.fetch(ctx, from, table, asOf, failed)
-		failed = err != nil
-		log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": table, "own": asOf, "newest": newest, "from": from, "lacking": (h.timer.Now() - heard).Milliseconds()})
-		if err != nil {
-			log.WithError(err).Warn("edge: fetching changes from another host failed; trying another one that has them")
-			h.members.ClearVersions(from)
-			wake(h.catchUpWake[table])
-			continue
+		select {
+		case <-ctx.Done():
+		case r := <-f.done:
+			f.end(r)
+		case <-h.timer.After(hedge):
 		}
-		log = log.WithField("adopted", m.Merge(c))
-		lacking := h.timer.Now() - heard
-		heard = h.timer.Now()
-		if lacking < catchUpDelay {
-			log.Debug("edge: changes fetched from another host")
+	}
+}
+
+// missing returns the address of the host to ask first for the changes of a table,
+// the version of the newest change, and the version up to which this host's copy
+// is complete. The address is "" if this host has all changes.
+func (h *host) missing(table core.FeedTable) (from string, newest, asOf uint64) {
+	asOf, _ = h.state.mirrors[table].Versions()
+	newest, _ = h.members.NewestVersion(table)
+	if sources := h.members.Sources(table, asOf); len(sources) > 0 {
+		from = sources[0]
+	}
+	return from, newest, asOf
+}
+
+// fetches are the attempts to fetch the missing changes of a table.
+type fetches struct {
+	host    *host
+	table   core.FeedTable
+	heard   time.Duration   // when this host heard of the changes
+	asked   map[string]bool // hosts that have been asked and had nothing new, or have not answered yet
+	running int
+	done    chan fetched
+}
+
+// fetched is the end of an attempt.
+type fetched struct {
+	from    string
+	adopted bool
+}
+
+// next starts an attempt with the next host, if there is one. It returns false if no
+// changes are missing.
+func (f *fetches) next(ctx context.Context) bool {
+	m := f.host.state.mirrors[f.table]
+	asOf, _ := m.Versions()
+	sources := f.host.members.Sources(f.table, asOf)
+	if len(sources) == 0 || asOf == 0 && f.host.members.FollowsStore() && !m.Failing() {
+		return false
+	}
+	if f.running == maxFetches {
+		return true
+	}
+	for _, from := range sources {
+		if f.asked[from] {
 			continue
 		}
-		h.metrics.CountLateChange(table)
-		log.Info("edge: changes fetched from another host, late")
+		f.asked[from] = true
+		f.running++
+		go func() { f.done <- fetched{from: from, adopted: f.fetch(ctx, from, asOf)} }()
+		return true
+	}
+	if f.running == 0 {
+		clear(f.asked) // start over after hedgeDelay
 	}
+	return true
 }
 
-// wake sends to a channel with room for one value, unless it is full.
-func wake(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
+// end records the end of an attempt.
+func (f *fetches) end(r fetched) {
+	f.running--
+	if r.adopted {
+		delete(f.asked, r.from)
 	}
 }
 
-// fetch fetches the changes of a table after a version from another host. It
-// gives up early unless it is to be patient.
-func (h *host) fetch(ctx context.Context, from string, table core.FeedTable, after uint64, patient bool) (mirror.Snapshot, error) {
-	if after > 0 && !patient {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
+// fetch fetches the changes after a version from a host and reports whether they were
+// new.
+func (f *fetches) fetch(ctx context.Context, from string, after uint64) bool {
+	h := f.host
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if after > 0 {
+		timeout := h.timer.After(fetchTimeout)
+		go func() {
+			select {
+			case <-ctx.Done():
+			case <-timeout:
+				cancel()
+			}
+		}()
 	}
-	return beacon.FetchSnapshot(ctx, from, h.cfg.Place.PeerPort, table, after)
+	c, err := beacon.FetchSnapshot(ctx, from, h.cfg.Place.PeerPort, f.table, after)
+	lacking := h.timer.Now() - f.heard
+	log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": f.table, "own": after, "from": from, "lacking": lacking.Milliseconds()})
+	if err != nil {
+		if current, _ := h.state.mirrors[f.table].Versions(); current == after {
+			log.WithError(err).Warn("edge: fetching changes from another host failed; other hosts are asked")
+		}
+		return false
+	}
+	adopted := h.state.mirrors[f.table].Merge(c)
+	log = log.WithField("adopted", adopted)
+	if !adopted || lacking < catchUpDelay {
+		log.Debug("edge: changes fetched from another host")
+		return adopted
+	}
+	h.metrics.CountLateChange(f.table)
+	log.Info("edge: changes fetched from another host, late")
+	return true
 }
 
-// missing returns the address of the host that has the newest change of a table,
-// the version of that change, and the version up to which this host's copy is
-// complete. The address is "" if this host has all changes.
-func (h *host) missing(table core.FeedTable) (from string, newest, asOf uint64) {
-	asOf, _ = h.state.mirrors[table].Versions()
-	newest, from = h.members.NewestVersion(table)
-	if newest <= asOf {
-		from = ""
+// wake sends to a channel with room for one value, unless it is full.
+func wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
-	return from, newest, asOf
 }
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -335,6 +335,18 @@
 	return !p.seen && now < p.lastSeen+localTimeout
 }
 
+// IsLocal reports whether the host with an address is in this host's domain.
+func (v *Members) IsLocal(address string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.peers {
+		if p.Address == address {
+			return p.Domain == v.self.Domain
+		}
+	}
+	return false
+}
+
 // localPeers returns the other live hosts of this host's domain.
 func (v *Members) localPeers(now time.Duration) []*peer {
 	var list []*peer
--- a/core/gossip/source.go
+++ b/core/gossip/source.go
@@ -15,6 +15,18 @@
 	return v.bestPeer(func(b *Heartbeat) uint64 { return b.Versions[t] }, true)
 }
 
+// Sources returns the addresses of the live hosts that report a newer change of a
+// table than a version: those of this host's domain first, then those with the
+// newest change.
+func (v *Members) Sources(t core.FeedTable, after uint64) []string {
+	return v.rankedPeers(func(b *Heartbeat) uint64 {
+		if b.Versions[t] <= after {
+			return 0
+		}
+		return b.Versions[t]
+	})
+}
+
 // Lender returns the address of the live host from which to borrow rate tokens
 // of a workspace: the one with the most spare tokens, preferably of this
 // host's domain. It returns "" if no host has any.
@@ -60,13 +72,22 @@
 // Lenders returns the addresses of the live hosts that have spare tokens of a
 // workspace: those of this host's domain first, then those with the most.
 func (v *Members) Lenders(w core.WorkspaceID) []string {
+	return v.rankedPeers(func(b *Heartbeat) uint64 { return uint64(b.SpareTokens[w]) })
+}
+
+// rankedPeers returns the addresses of the live hosts whose value is not 0: those of
+// this host's domain first, then those with the highest value. Remaining ties go
+// to the lowest name.
+func (v *Members) rankedPeers(value func(*Heartbeat) uint64) []string {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var list []*peer
+	values := make(map[core.HostID]uint64)
 	for _, p := range v.peers {
-		if p.SpareTokens[w] > 0 && v.isAlive(now, p) {
+		if n := value(&p.Heartbeat); n > 0 && v.isAlive(now, p) {
 			list = append(list, p)
+			values[p.Host] = n
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -74,8 +95,8 @@
 		if local := a.Domain == v.cfg.Self.Domain; local != (b.Domain == v.cfg.Self.Domain) {
 			return local
 		}
-		if a.SpareTokens[w] != b.SpareTokens[w] {
-			return a.SpareTokens[w] > b.SpareTokens[w]
+		if values[a.Host] != values[b.Host] {
+			return values[a.Host] > values[b.Host]
 		}
 		return a.Host < b.Host
 	})
@@ -106,19 +127,6 @@
 	}
 }
 
-// ClearVersions records that a table could not be fetched from the host with an
-// address. NewestVersion does not return the host again until its next
-// heartbeat.
-func (v *Members) ClearVersions(address string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, p := range v.peers {
-		if p.Address == address {
-			p.Versions = nil
-		}
-	}
-}
-
 // Coordinator returns the host that decides for all hosts about a key: of the live
 // and ready hosts with the smallest distance, the one with the lowest hash for the
 // key. Hosts with the same view return the same host. If no host is ready, that is
