mirror: never go back to an older state of a table

What callers saw: nothing yet. After the store had dropped its history, the copy forgot its version and took the next listing whatever its own version was, or an older copy of another host that was fetched meanwhile. A listing that was answered from an earlier version, or such a copy, brought back servers that had left, evacuations that had ended and, for other hosts that follow this one, older rows.

The version of a copy now only grows. A host that must list the table again keeps it, refuses older listings as failed reads, and can take the changes after it from other hosts. Listings, changes and copies of others enter in one place, mirror.apply, which compares the versions. An answer to an earlier call is merged as far as it is newer.

--- a/core/mirror/hold.go
+++ b/core/mirror/hold.go
@@ -56,19 +56,3 @@
 	}
 	return left
 }
-
-// lastOfEachKey returns the last change of each row, in order. A row that was
-// removed and written again has then only been written.
-func lastOfEachKey(changes []core.Record) []core.Record {
-	last := make(map[string]int, len(changes))
-	for i, r := range changes {
-		last[r.Key] = i
-	}
-	kept := changes[:0]
-	for i, r := range changes {
-		if last[r.Key] == i {
-			kept = append(kept, r)
-		}
-	}
-	return kept
-}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -102,7 +102,8 @@
 	rows         map[string]core.Record
 	history      []core.Record // newest changes, oldest first
 	historyStart uint64        // history holds all changes after this version
-	asOf         uint64
+	version      uint64        // the copy holds all changes up to it; it never decreases
+	mustList     bool          // the store has dropped the changes after version
 	newest       uint64
 	failing      bool                     // the last call failed
 	lastSuccess  time.Duration            // end of the last call that succeeded
@@ -122,13 +123,11 @@
 
 // Versions returns the version up to which the copy is complete, and the
 // version of its newest change, or a later one if only a listing showed the
-// change. Both are 0 before the first read. asOf is also
-// 0 while the table must be listed again because the store dropped its
-// history.
+// change. Both are 0 before the first read.
 func (m *Mirror) Versions() (asOf, change uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.asOf, m.newest
+	return m.version, m.newest
 }
 
 // Failing reports whether the last call to the store failed.
@@ -143,7 +142,7 @@
 func (m *Mirror) Snapshot(after uint64) Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Snapshot{Version: m.asOf, Newest: m.newest, Holds: m.holdsLeft()}
+	c := Snapshot{Version: m.version, Newest: m.newest, Holds: m.holdsLeft()}
 	if after > 0 && after >= m.historyStart {
 		c.After = after
 		for _, r := range m.history {
@@ -166,17 +165,11 @@
 	m.changedMu.Lock()
 	defer m.changedMu.Unlock()
 	m.mu.Lock()
-	if c.Version <= m.asOf || c.After > m.asOf {
+	changes, ok := m.apply(c.After, core.Records{Rows: c.Rows, Version: c.Version})
+	if !ok {
 		m.mu.Unlock()
 		return false
 	}
-	var changes []core.Record
-	got := core.Records{Rows: c.Rows, Version: c.Version}
-	if c.After > 0 {
-		changes = m.merge(got)
-	} else {
-		changes = m.replace(got)
-	}
 	m.newest = max(m.newest, c.Newest)
 	now := m.cfg.Timer.Now()
 	m.recordHolds(changes, func(key string) time.Duration { return now + c.Holds[key] })
@@ -221,7 +214,7 @@
 // itself.
 func (m *Mirror) readsStore() bool {
 	m.mu.Lock()
-	must := m.asOf == 0 || m.failing
+	must := m.version == 0 || m.mustList || m.failing
 	m.mu.Unlock()
 	return must || m.cfg.FollowsStore == nil || m.cfg.FollowsStore()
 }
@@ -232,7 +225,10 @@
 	defer cancel()
 	m.mu.Lock()
 	start := m.cfg.Timer.Now()
-	after, wait, request := m.asOf, m.cfg.PollTimeout, call
+	from, after, wait, request := m.version, m.version, m.cfg.PollTimeout, call
+	if m.mustList {
+		after = 0
+	}
 	if m.failing || start > m.lastSuccess+m.cfg.PollTimeout+answerTimeout {
 		// Detect the end of an outage at once, and an outage when this host begins
 		// to follow the store.
@@ -253,6 +249,9 @@
 	if err != nil {
 		return m.handleError(ctx, call, start, err)
 	}
+	if got.Version < from {
+		return codes.New(codes.StoreDown, "mirror: store answered from version %d, which is older than version %d of the copy", got.Version, from)
+	}
 	m.applyResponse(after, got)
 	return nil
 }
@@ -280,9 +279,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if codes.Is(err, codes.StoreAbsent) {
-		// The store dropped its history after asOf. The rows stay valid; the
-		// next call lists the table.
-		m.asOf = 0
+		// The rows stay valid; the next call lists the table.
+		m.mustList = true
 		return nil
 	}
 	now := m.cfg.Timer.Now()
@@ -308,17 +306,7 @@
 		m.cfg.OnStoreState(nil)
 	}
 	m.lastSuccess = now
-	if m.asOf != after {
-		// A copy was adopted meanwhile, so the response may be older.
-		m.mu.Unlock()
-		return
-	}
-	var changes []core.Record
-	if after == 0 {
-		changes = m.replace(got)
-	} else {
-		changes = m.merge(got)
-	}
+	changes, _ := m.apply(after, got)
 	m.recordHolds(changes, func(string) time.Duration { return m.holdUntil(now) })
 	change := Change{Rows: changes, Holds: m.holdsLeft()}
 	m.mu.Unlock()
@@ -326,54 +314,3 @@
 		m.cfg.OnChange(change)
 	}
 }
-
-// replace sets the content to got and returns the changes.
-func (m *Mirror) replace(got core.Records) []core.Record {
-	var changes []core.Record
-	seen := make(map[string]bool, len(got.Rows))
-	for _, r := range got.Rows {
-		seen[r.Key] = true
-		if old, ok := m.rows[r.Key]; !ok || old.Version != r.Version {
-			m.rows[r.Key] = r
-			changes = append(changes, r)
-		}
-		m.newest = max(m.newest, r.Version)
-	}
-	for key := range m.rows {
-		if !seen[key] {
-			delete(m.rows, key)
-			changes = append(changes, core.Record{Key: key, Version: got.Version, Removed: true})
-			m.newest = max(m.newest, got.Version) // the version of the removal is not known
-		}
-	}
-	m.asOf = got.Version
-	m.history, m.historyStart = nil, got.Version
-	return changes
-}
-
-// merge applies changes in their order and returns the last new one of each row.
-func (m *Mirror) merge(got core.Records) []core.Record {
-	var changes []core.Record
-	for _, r := range got.Rows {
-		if old, ok := m.rows[r.Key]; r.Version <= m.asOf || ok && old.Version >= r.Version {
-			continue
-		}
-		if r.Removed {
-			delete(m.rows, r.Key)
-		} else {
-			m.rows[r.Key] = r
-		}
-		changes = append(changes, r)
-		m.newest = max(m.newest, r.Version)
-	}
-	changes = lastOfEachKey(changes)
-	m.asOf = max(m.asOf, got.Version)
-	// An older change of the same row is of no use to hosts that ask later, and
-	// rows can be large.
-	m.history = lastOfEachKey(append(m.history, changes...))
-	if over := len(m.history) - maxHistory; over > 0 {
-		m.historyStart = m.history[over-1].Version
-		m.history = append([]core.Record(nil), m.history[over:]...)
-	}
-	return changes
-}
