mirror, gossip, edge: give each copy of a table an age, and read the store when it is too old

A host that depends on others had no means to tell that it had missed a change: if the host that reads the store for it stopped doing so, or its reports were lost, it went on with what it knew; a follower on a dead connection noticed after 4.5 s. Besides, the time since the last answer counted as an outage, so that a poll that failed after some quiet seconds kept a server that had left for 1.5 s more.

Each copy now has an age: the time since it was known to hold all changes that the store had acknowledged. One host of all reads the store every 0.4 s and tells the others at once, with a new kind of datagram, up to when its copies are complete; a copy that has the same newest change is as complete. A follower whose copy is older than 0.7 s gives up the call that it waits for and makes another one, a host that does not follow reads the store itself at 0.9 s, for 0.5 s at most. The length of an outage, which decides whether entries may have expired, is the time for which nobody could confirm the copy; an outage of one host alone lets no removed server stay in use.

TestReadsOnceUnlessItFollows now confirms the copy, as other hosts do; without that the host must read the store. In TestAShortOutageKeepsNoRemovedServer a silent outage is noticed earlier (2.4 s rather than over 3 s), so that the test compares with the one and a half heartbeats that the code uses, and states which outage is long.

--- a/app/edge/count.go
+++ b/app/edge/count.go
@@ -50,6 +50,8 @@
 		{"azurering_limited_servers", "Backend servers that name a limit of requests per second.", func() float64 { return float64(h.view.NumLimited()) }},
 		{"azurering_coordinated_servers", "Backend servers with a limit to which this host grants the requests.", func() float64 { return float64(h.pacer.NumCoordinated()) }},
 		{"azurering_hosts", "Other hosts that are alive.", h.aliveHosts},
+		{"azurering_copy_age_seconds", "Time since this host's copy of the list of servers was last known to be complete.", func() float64 { return h.state.mirrors[core.FeedServers].Age().Seconds() }},
+		{"azurering_config_age_seconds", "Time since this host's copy of the operators' table was last known to be complete.", func() float64 { return h.state.mirrors[core.FeedOperator].Age().Seconds() }},
 		{"azurering_config_version", "Version of the configuration in force; 0 for none.", h.configVersion},
 	} {
 		if err := h.metrics.RegisterGauge(g.name, g.help, g.read); err != nil {
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -63,6 +63,7 @@
 
 	// catchUpWake wakes runCatchUp of a table.
 	catchUpWake map[core.FeedTable]chan struct{}
+	announced   *announcements
 
 	front       *front.Server
 	beacon      *beacon.Transport
@@ -76,7 +77,7 @@
 ) *host {
 	h := &host{
 		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, state: w, view: view,
-		recorder: r, bootTime: uint64(time.Now().UnixMilli()),
+		recorder: r, bootTime: uint64(time.Now().UnixMilli()), announced: &announcements{upTo: make(map[core.FeedTable]time.Duration)},
 		catchUpWake: map[core.FeedTable]chan struct{}{
 			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
 		},
@@ -96,7 +97,7 @@
 func (h *host) start(_ context.Context) error {
 	var err error
 	h.beacon, err = beacon.Listen(beacon.Config{
-		Address: h.cfg.Place.Address, Port: h.cfg.Place.PeerPort, OnDigest: h.receiveDigest, OnTokenRequest: h.limiter.Lend,
+		Address: h.cfg.Place.Address, Port: h.cfg.Place.PeerPort, OnDigest: h.receiveDigest, OnNews: h.receiveNews, OnTokenRequest: h.limiter.Lend,
 		OnLoanRequest: h.limiter.Grant, OnRecall: h.endLoans, OnPermitRequest: h.pacer.Grant, OnLimitNotice: h.pacer.Notice, Log: h.cfg.Log,
 	})
 	if err != nil {
@@ -121,6 +122,7 @@
 	go h.state.run(ctx)
 	go h.register(ctx)
 	go h.runHeartbeats(ctx)
+	go h.runNews(ctx)
 	go h.runCatchUp(ctx, core.FeedOperator)
 	go h.runCatchUp(ctx, core.FeedServers)
 	go h.runSweep(ctx)
--- a/app/edge/leave_test.go
+++ b/app/edge/leave_test.go
@@ -154,6 +154,46 @@
 	}
 }
 
+// answer answers a call, or the call that the list has made in its place since it
+// gave the first one up.
+func (l *serverList) answer(c storeCall, records core.Records) {
+	l.t.Helper()
+	for tries := 0; tries < 100; tries++ {
+		select {
+		case c.reply <- storeReply{records: records}:
+		default: // it has been answered
+		}
+		for range 50 {
+			if asOf, _ := l.mirror.Versions(); asOf == records.Version {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+		c = l.next()
+	}
+	require.Fail(l.t, "the list took no answer")
+}
+
+// keepAnswering answers the calls of the list, as a store without changes after a
+// version does, until stop is called.
+func (l *serverList) keepAnswering(version uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case c := <-l.feed.calls:
+				c.reply <- storeReply{records: core.Records{Version: version}}
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+	}()
+	return func() { cancel(); <-done }
+}
+
 // outage fails calls to the store, each after a time, and returns the time at
 // which the last one was made and the call that the store can answer again.
 func (l *serverList) outage(callTakes time.Duration) (lastFailed time.Duration, back storeCall) {
@@ -252,9 +292,10 @@
 func TestALeaveStaysALeaveOnItsWayThroughAHostWithoutTheStore(t *testing.T) {
 	clock := timer.NewManual()
 	reader, cutOff, third := startedList(t, clock), startedList(t, clock), startedList(t, clock)
+	stop := reader.keepAnswering(1)
 	cutOff.outage(0)
-	reader.next().reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
-	reader.next()
+	stop()
+	reader.answer(reader.next(), core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2})
 	require.True(t, cutOff.mirror.Merge(reader.mirror.Snapshot(1)))
 	require.False(t, cutOff.uses())
 	require.True(t, third.mirror.Merge(cutOff.mirror.Snapshot(1)))
@@ -274,8 +315,7 @@
 		for until := l.clock.Now() + renewed; l.clock.Now() < until; l.clock.Advance(10 * time.Millisecond) {
 			require.True(t, l.uses(), name)
 		}
-		back.reply <- storeReply{records: core.Records{Rows: []core.Record{entry("i-1", 3)}, Version: 3}}
-		l.next()
+		l.answer(back, core.Records{Rows: []core.Record{entry("i-1", 3)}, Version: 3})
 		l.clock.Advance(10 * time.Second)
 		l.view.Tick()
 		require.True(t, l.uses(), name)
@@ -291,7 +331,8 @@
 		l.start(1, "i-1")
 		began := l.clock.Now()
 		_, back := l.outage(callTakes)
-		long := l.clock.Now()-began > 3*time.Second // two missed heartbeats
+		long := l.clock.Now()-began > 2250*time.Millisecond // one and a half missed heartbeats
+		require.Equal(t, name == "silent", long)
 		back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
 		l.next()
 		require.Equal(t, long, l.uses(), name)
@@ -344,3 +385,28 @@
 	}
 	require.Fail(t, "the host relied on a host that does not read the store")
 }
+
+// Guards against keeping a server that left because this host alone could not read
+// the store meanwhile: others could, so no entry has expired for that.
+func TestAnOutageOfOneHostKeepsNoRemovedServer(t *testing.T) {
+	l := newServerList(t, timer.NewManual(), core.HostSettings{ServerHeartbeat: 1500 * time.Millisecond})
+	l.start(1, "i-1")
+	for began := l.clock.Now(); l.clock.Now() < began+4*time.Second; {
+		l.next().fail(l.clock, 0)
+		l.mirror.Confirm(1, 50*time.Millisecond)
+	}
+	l.answer(l.next(), core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2})
+	require.False(t, l.uses())
+}
+
+// Guards against a host that follows the store and waits for an answer on a dead
+// connection, while its copy and those of all hosts that depend on it grow old.
+func TestFollowerGivesUpASilentCallInTime(t *testing.T) {
+	const maxSilence = 900 * time.Millisecond
+	l := startedList(t, timer.NewManual())
+	silent := l.next()
+	began := l.clock.Now()
+	l.next()
+	require.Error(t, silent.ctx.Err())
+	require.LessOrEqual(t, l.clock.Now()-began, maxSilence)
+}
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -18,9 +18,8 @@
 	"azurering/io/metric"
 )
 
-// longPollWait is how long one call waits for changes of a table. A
-// dead connection to the store is noticed after that time. If all hosts are
-// affected, changes are late by as much; the platform allows 5 s.
+// longPollWait is how long one call waits for changes of a table. A dead connection
+// to the store is noticed earlier, by the age of the copy.
 const longPollWait = 3 * time.Second
 
 // RowDecoders decodes the rows that the platform writes. All fields are required.
@@ -48,7 +47,9 @@
 	mirrors map[core.FeedTable]*mirror.Mirror
 	table   atomic.Pointer[routes.Table]
 	changed chan struct{} // a table has changed; wakes the next heartbeat
-	invalid map[core.FeedTable]*invalidEntries
+	// confirmed wakes runNews after a read of the store.
+	confirmed chan struct{}
+	invalid   map[core.FeedTable]*invalidEntries
 
 	mu        sync.Mutex
 	evacuated map[core.DomainID]bool
@@ -57,7 +58,7 @@
 func newClusterState(
 	cfg Config, t core.Timer, feed core.Feed, limiter *quota.Limiter, members *gossip.Members, m *metric.Metrics,
 ) *clusterState {
-	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1)}
+	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1), confirmed: make(chan struct{}, 1)}
 	w.invalid = map[core.FeedTable]*invalidEntries{
 		core.FeedOperator: newInvalidEntries(t, m, core.FeedOperator), core.FeedServers: newInvalidEntries(t, m, core.FeedServers),
 	}
@@ -73,7 +74,7 @@
 ) *mirror.Mirror {
 	return mirror.New(mirror.Config{
 		Table: table, Feed: feed, Timer: t, PollTimeout: longPollWait, FollowsStore: members.FollowsStore,
-		Holds: holds,
+		Confirms: members.Confirms, OnConfirm: func() { wake(w.confirmed) }, Holds: holds,
 		OnChange: func(c mirror.Change) {
 			changed(c)
 			if !members.FollowsStore() {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -161,7 +161,13 @@
 	if d.Domain != v.self.Domain && len(d.Heartbeats) > 0 {
 		v.updateTotals(now, d)
 	}
-	if d.Forwarded || d.Domain == v.self.Domain || !v.isLeader(now) {
+	return v.forwardTargets(now, d.Domain, d.Forwarded)
+}
+
+// forwardTargets returns the addresses of the hosts of this host's domain to which
+// it forwards a message from a domain.
+func (v *Members) forwardTargets(now time.Duration, from core.DomainID, forwarded bool) []string {
+	if forwarded || from == v.self.Domain || !v.isLeader(now) {
 		return nil
 	}
 	return v.addresses(v.localPeers(now))
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -438,3 +438,47 @@
 	digest(2, 1, 4)
 	require.InDelta(t, 4, v.Totals().Demand["w"], 1e-9)
 }
+
+// Guards against a fleet in which nobody confirms that copies are complete, so that
+// each host reads the store, or in which many hosts do.
+func TestOneHostConfirmsForTheFleet(t *testing.T) {
+	f := newFleet(3, 2)
+	f.run(4 * time.Second)
+	confirming := func() (names []core.HostID) {
+		for _, h := range f.hosts {
+			if f.views[h.Address].Confirms() {
+				names = append(names, h.Host)
+			}
+		}
+		return names
+	}
+	require.Equal(t, []core.HostID{"a0"}, confirming())
+	f.lost = map[core.HostID]bool{"a0": true}
+	f.run(2 * time.Second)
+	require.Contains(t, confirming(), core.HostID("a1"))
+	require.NotContains(t, confirming(), core.HostID("b0"))
+}
+
+// Guards against news that reach a host twice, or not all hosts.
+func TestNewsReachAllHosts(t *testing.T) {
+	f := newFleet(3, 3)
+	f.run(4 * time.Second)
+	addresses := make(map[string]core.HostID)
+	for _, h := range f.hosts {
+		addresses[h.Address] = h.Host
+	}
+	for _, sender := range f.hosts {
+		news := gossip.News{Domain: sender.Domain}
+		reached := map[core.HostID]bool{sender.Host: true}
+		for _, a := range f.views[sender.Address].NewsTargets() {
+			reached[addresses[a]] = true
+			forwarded := news
+			for _, b := range f.views[a].ForwardTargets(forwarded) {
+				reached[addresses[b]] = true
+				forwarded.Forwarded = true
+				require.Empty(t, f.views[b].ForwardTargets(forwarded))
+			}
+		}
+		require.Len(t, reached, len(f.hosts), sender.Host)
+	}
+}
--- a/core/mirror/apply.go
+++ b/core/mirror/apply.go
@@ -18,6 +18,7 @@
 		changes = m.merge(got)
 	}
 	m.version, m.mustList = got.Version, false
+	m.settle()
 	return changes, true
 }
 
--- a/core/mirror/hold.go
+++ b/core/mirror/hold.go
@@ -6,16 +6,9 @@
 	"azurering/core"
 )
 
-// endOutage sets until when owners may renew the rows that expired during the
-// outage that was found to have ended now. It may have ended at any time since
-// lastOut.
-func (m *Mirror) endOutage(now time.Duration) {
-	m.renewUntil = 0
-	if now-m.lastSuccess < m.cfg.Holds.MinOutage {
-		return
-	}
-	m.renewUntil = min(now+renewWindow, m.lastOut+m.cfg.Holds.Outage)
-}
+// renewWindow is how long after an outage owners may still renew rows that
+// expired during it.
+const renewWindow = 2 * time.Second
 
 // holdUntil returns until when a row may be renewed whose removal the store
 // reports now.
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -14,6 +14,7 @@
 
 	"azurering/core"
 	"azurering/core/codes"
+	"azurering/core/timer"
 )
 
 const (
@@ -22,20 +23,18 @@
 	// at the same time.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
-	// renewWindow is how long after an outage owners may still renew rows that
-	// expired during it.
-	renewWindow = 2 * time.Second
 	// answerTimeout is how long after an answer was due the Feed waits for it.
 	answerTimeout = 1500 * time.Millisecond
 	// probeTimeout bounds a call that the store is to answer at once. A short one
-	// shows more closely when an outage ended. The store answers in up to 240 ms
-	// when it is slow.
-	probeTimeout = 700 * time.Millisecond
+	// shows more closely when an outage ended, and leaves time for a second call
+	// within the time in which a change must be in force. The store answers in up
+	// to 240 ms when it is slow.
+	probeTimeout = 500 * time.Millisecond
 	// probePeriod is the time without an answer after which calls get the Feed's
 	// timeout again, in case the store has become slower than probeTimeout.
 	probePeriod = 10 * time.Second
-	// idleInterval is the time between two checks whether this host is to
-	// follow the store.
+	// idleInterval is the time between two checks whether this host is to read
+	// the store.
 	idleInterval = 100 * time.Millisecond
 	// maxHistory is the number of changes kept for hosts that ask for what
 	// changed after a version.
@@ -61,6 +60,12 @@
 	// FollowsStore is not called before the first read has succeeded or while calls
 	// fail: the host reads the store itself then.
 	FollowsStore func() bool
+	// Confirms reports whether this host confirms to the others that their copies
+	// are complete. Its calls wait for confirmWait only. Nil means that it never does.
+	Confirms func() bool
+	// OnConfirm is called after a read of the store has shown that the copy is
+	// complete. Nil is allowed. It must not call the Mirror.
+	OnConfirm func()
 	// Holds bounds how long removed rows are held. The zero value means not at
 	// all.
 	Holds HoldLimits
@@ -106,14 +111,16 @@
 	mustList     bool          // the store has dropped the changes after version
 	newest       uint64
 	failing      bool                     // the last call failed
-	lastSuccess  time.Duration            // end of the last call that succeeded
 	failingSince time.Duration            // end of the first call that failed
 	lastOut      time.Duration            // latest time at which the store is known to have been unreachable
+	confirmed    time.Duration            // the copy holds all changes that the store had acknowledged by then
+	pending      []confirmation           // confirmations of versions that the copy has not reached
 	renewUntil   time.Duration            // until when owners may renew rows that expired during the last outage
 	holds        map[string]time.Duration // removed rows that may be renewed, and until when
 	cancel       context.CancelFunc       // cancels the call in progress
+	waiting      bool                     // the call in progress waits for changes
 
-	changedMu sync.Mutex // serializes calls of Changed; locked before mu
+	changedMu sync.Mutex // serializes calls of OnChange; locked before mu
 }
 
 // New returns an empty mirror.
@@ -187,6 +194,11 @@
 // Run lists and follows the table until ctx is done. It must be called only
 // once at a time.
 func (m *Mirror) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		timer.Every(ctx, m.cfg.Timer, "stale", idleInterval, nil, func(context.Context) { m.endStaleWait() })
+	})
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !m.readsStore() {
@@ -210,34 +222,40 @@
 	}
 }
 
+// follows reports whether this host follows the store.
+func (m *Mirror) follows() bool { return m.cfg.FollowsStore == nil || m.cfg.FollowsStore() }
+
 // readsStore reports whether this host makes the next read of the store
 // itself.
 func (m *Mirror) readsStore() bool {
 	m.mu.Lock()
-	must := m.version == 0 || m.mustList || m.failing
+	must := m.version == 0 || m.mustList || m.failing || m.isStale(maxAge)
 	m.mu.Unlock()
-	return must || m.cfg.FollowsStore == nil || m.cfg.FollowsStore()
+	return must || m.follows()
 }
 
 // poll makes one call to the store and applies its response.
 func (m *Mirror) poll(ctx context.Context) error {
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
+	wait := m.cfg.PollTimeout
+	if m.cfg.Confirms != nil && m.cfg.Confirms() {
+		wait = confirmWait
+	}
 	m.mu.Lock()
 	start := m.cfg.Timer.Now()
-	from, after, wait, request := m.version, m.version, m.cfg.PollTimeout, call
+	from, after, request := m.version, m.version, call
 	if m.mustList {
 		after = 0
 	}
-	if m.failing || start > m.lastSuccess+m.cfg.PollTimeout+answerTimeout {
-		// Detect the end of an outage at once, and an outage when this host begins
-		// to follow the store.
+	if m.failing || m.isStale(maxFollowerAge) {
+		// Detect an outage and its end at once.
 		wait = 0
 	}
 	if wait == 0 && (!m.failing || start < m.failingSince+probePeriod) {
 		request = m.cancelAfter(call, probeTimeout)
 	}
-	m.cancel = cancel
+	m.cancel, m.waiting = cancel, after > 0 && wait > 0
 	m.mu.Unlock()
 	var got core.Records
 	var err error
@@ -249,10 +267,13 @@
 	if err != nil {
 		return m.handleError(ctx, call, start, err)
 	}
+	if len(got.Rows) == 0 && m.cfg.Timer.Now() >= start+wait {
+		start += wait // the store has answered at the end of the wait
+	}
 	if got.Version < from {
 		return codes.New(codes.StoreDown, "mirror: store answered from version %d, which is older than version %d of the copy", got.Version, from)
 	}
-	m.applyResponse(after, got)
+	m.applyResponse(after, start, got)
 	return nil
 }
 
@@ -293,19 +314,18 @@
 	return err
 }
 
-// applyResponse applies the response of a call that was made at version
-// after.
-func (m *Mirror) applyResponse(after uint64, got core.Records) {
+// applyResponse applies the response of a call that was made at version after. The
+// response holds all changes that the store had acknowledged by a time.
+func (m *Mirror) applyResponse(after uint64, complete time.Duration, got core.Records) {
 	m.changedMu.Lock()
 	defer m.changedMu.Unlock()
 	m.mu.Lock()
 	now := m.cfg.Timer.Now()
 	if m.failing {
 		m.failing = false
-		m.endOutage(now)
 		m.cfg.OnStoreState(nil)
 	}
-	m.lastSuccess = now
+	m.confirm(now, complete)
 	changes, _ := m.apply(after, got)
 	m.recordHolds(changes, func(string) time.Duration { return m.holdUntil(now) })
 	change := Change{Rows: changes, Holds: m.holdsLeft()}
@@ -313,4 +333,7 @@
 	if len(changes) > 0 || after == 0 {
 		m.cfg.OnChange(change)
 	}
+	if m.cfg.OnConfirm != nil {
+		m.cfg.OnConfirm()
+	}
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -258,8 +258,9 @@
 	require.Len(t, l.events, 4)
 }
 
-// A host that does not follow the store must read it only once. Otherwise the
-// load on the store would grow with the number of hosts.
+// A host that does not follow the store must read it only once while others
+// confirm its copy. Otherwise the load on the store would grow with the number of
+// hosts.
 func TestReadsOnceUnlessItFollows(t *testing.T) {
 	l := newFixture(records(10, row("a", 3)), records(11, row("b", 11)))
 	follows := false
@@ -276,6 +277,7 @@
 	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf == 10 }, 10*time.Second, time.Millisecond)
 	for range 50 {
 		l.clock.Advance(100 * time.Millisecond)
+		l.mirror.Confirm(10, 0)
 		time.Sleep(100 * time.Microsecond)
 	}
 	cancel()
--- a/io/beacon/beacon.go
+++ b/io/beacon/beacon.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
-	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -33,6 +32,9 @@
 	// OnDigest handles a received digest and returns the IP addresses of the
 	// hosts to forward it to.
 	OnDigest func(gossip.Digest) []string
+	// OnNews handles received news and returns the IP addresses of the hosts to
+	// forward them to.
+	OnNews func(gossip.News) []string
 	// OnTokenRequest removes up to want rate tokens of a workspace to lend them to
 	// another host, and returns how many.
 	OnTokenRequest func(w core.WorkspaceID, want float64) float64
@@ -44,7 +46,7 @@
 	// OnPermitRequest decides whether another host may send a request to a server.
 	OnPermitRequest func(core.PermitRequest) core.PermitReply
 	// OnLimitNotice handles what another host tells about a server's limit. Run
-	// calls OnDigest, OnTokenRequest, OnLoanRequest, OnRecall,
+	// calls OnDigest, OnNews, OnTokenRequest, OnLoanRequest, OnRecall,
 	// OnPermitRequest and OnLimitNotice.
 	OnLimitNotice func(core.LimitNotice)
 	Log           logrus.FieldLogger
@@ -106,6 +108,8 @@
 	switch kind := raw[0]; kind {
 	case kindDigest:
 		return b.handleDigest(raw[1:])
+	case kindNews:
+		return b.handleNews(raw[1:])
 	case kindTokenRequest, kindTokenReply:
 		return b.handleToken(kind, raw[1:], from)
 	case kindLoanRequest, kindLoanReply:
@@ -144,14 +148,7 @@
 	if err != nil {
 		return err
 	}
-	raw = append([]byte{kindDigest}, raw...)
-	var last error
-	for _, a := range addresses {
-		if _, err := b.socket.WriteToUDP(raw, &net.UDPAddr{IP: net.ParseIP(a), Port: b.cfg.Port}); err != nil {
-			last = errors.Wrap(err, "beacon: cannot send digest to "+net.JoinHostPort(a, strconv.Itoa(b.cfg.Port)))
-		}
-	}
-	return last
+	return b.sendAll(append([]byte{kindDigest}, raw...), addresses)
 }
 
 // Close closes the socket and ends Run.
--- a/io/beacon/token.go
+++ b/io/beacon/token.go
@@ -18,6 +18,7 @@
 // Kinds of datagrams. The kind is the first byte.
 const (
 	kindDigest        = 'd'
+	kindNews          = 'n'
 	kindTokenRequest  = 'a'
 	kindTokenReply    = 'g'
 	kindPermitRequest = 'p'
