picker, platform, edge: send no requests to a server that says in an answer that it leaves

Cause: no code read Server-Leaving; hosts went by the entry in the store alone.

A server whose answer, to a request or a health check, has Server-Leaving: 1 gets no new requests of this host from then on; those that it has are not cut. The notice holds for that start of the server, whatever its entry says, until the server starts again. It needs neither the store nor other hosts. Answers that belong to another request, or to another server, and other values say nothing.

--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -130,7 +130,10 @@
 	view := picker.New(picker.Config{
 		Timer: t, Host: cfg.Place.Name, Domain: cfg.Place.Domain, Region: cfg.Place.Region, Regions: cfg.Place.Regions,
 		DomainHosts: members.MaybeReadyHosts, Service: w.service, RequestCheck: c.check,
-		OnLimit: r.logLimit,
+		OnLimit: r.logLimit, OnLeave: func(n picker.LeaveNotice) {
+			r.logLeave(n)
+			wake(w.leaves)
+		},
 	})
 	c.view, w.view = view, view
 	return view
--- a/app/edge/news.go
+++ b/app/edge/news.go
@@ -7,6 +7,7 @@
 
 	"azurering/core"
 	"azurering/core/gossip"
+	"azurering/core/picker"
 )
 
 // minNewsStep is how much later the time up to which a copy is complete must be
@@ -33,31 +34,44 @@
 }
 
 // runNews tells the other hosts how complete the copies of this host are, each time
-// that it has read the store and they do not know yet.
+// that it has read the store and they do not know yet, and which servers have told
+// it that they leave.
 func (h *host) runNews(ctx context.Context) {
 	for {
+		n := gossip.News{Domain: h.cfg.Place.Domain}
 		select {
 		case <-ctx.Done():
 			return
+		case <-h.state.leaves:
+			n.Leaving = h.view.TakeUntoldLeaves()
 		case <-h.state.confirmed:
+			n.Tables = h.untoldConfirmations()
 		}
-		if !h.members.FollowsStore() {
-			continue
-		}
-		n := gossip.News{Domain: h.cfg.Place.Domain, Tables: make(map[core.FeedTable]gossip.TableNews)}
-		now, late := h.timer.Now(), false
-		for table, m := range h.state.mirrors {
-			age := m.Age()
-			_, newest := m.Versions()
-			n.Tables[table] = gossip.TableNews{Newest: newest, Age: age}
-			late = h.announced.advance(table, now-age, minNewsStep) || late
-		}
-		if late {
+		if len(n.Leaving) > 0 || len(n.Tables) > 0 {
 			h.sendNews(n)
 		}
 	}
 }
 
+// untoldConfirmations returns the news of all tables, or nil if other hosts know
+// them or hear them from another host.
+func (h *host) untoldConfirmations() map[core.FeedTable]gossip.TableNews {
+	if !h.members.FollowsStore() {
+		return nil
+	}
+	tables, late := make(map[core.FeedTable]gossip.TableNews), false
+	for table, m := range h.state.mirrors {
+		age := m.Age()
+		_, newest := m.Versions()
+		tables[table] = gossip.TableNews{Newest: newest, Age: age}
+		late = h.announced.advance(table, h.timer.Now()-age, minNewsStep) || late
+	}
+	if !late {
+		return nil
+	}
+	return tables
+}
+
 func (h *host) sendNews(n gossip.News) {
 	if err := h.beacon.SendNews(n, h.members.NewsTargets()); err != nil {
 		// Hosts that are down refuse datagrams.
@@ -65,8 +79,8 @@
 	}
 }
 
-// receiveNews applies news from another host and returns the addresses to forward it
-// to.
+// receiveNews applies news from another host and returns the addresses to forward
+// them to.
 func (h *host) receiveNews(n gossip.News) []string {
 	now := h.timer.Now()
 	for table, t := range n.Tables {
@@ -77,5 +91,8 @@
 		m.Confirm(t.Newest, t.Age)
 		h.announced.advance(table, now-t.Age, 0)
 	}
+	for id, started := range n.Leaving {
+		h.view.MergeLeave(picker.LeaveNotice{Server: id, StartedMs: started, Source: string(n.Domain)})
+	}
 	return h.members.ForwardTargets(n)
 }
--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -103,6 +103,17 @@
 	return string(c.Source)
 }
 
+// logLeave counts and logs that a server says that it leaves.
+func (r *recorder) logLeave(n picker.LeaveNotice) {
+	source := n.Source
+	if source == "" {
+		source = "server"
+	}
+	r.metrics.CountLeaveNotice()
+	r.log.WithFields(logrus.Fields{"event": "leave", "server": n.Server, "born": n.StartedMs, "source": source}).
+		Info("edge: server says that it leaves; it gets no new requests")
+}
+
 // checker runs the health checks that the view requests. view and permit are set
 // before the first one.
 type checker struct {
@@ -140,6 +151,7 @@
 		c.view.HandleCheck(i, healthy, meta.WarmupLeft)
 		if err == nil {
 			c.view.RecordLimit(i, meta)
+			c.view.RecordLeave(i, meta)
 		}
 	}()
 }
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -49,6 +49,7 @@
 	changed chan struct{} // a table has changed; wakes the next heartbeat
 	// confirmed wakes runNews after a read of the store.
 	confirmed chan struct{}
+	leaves    chan struct{} // a server has said that it leaves; wakes runNews
 	invalid   map[core.FeedTable]*invalidEntries
 
 	mu        sync.Mutex
@@ -58,7 +59,7 @@
 func newClusterState(
 	cfg Config, t core.Timer, feed core.Feed, limiter *quota.Limiter, members *gossip.Members, m *metric.Metrics,
 ) *clusterState {
-	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1), confirmed: make(chan struct{}, 1)}
+	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1), confirmed: make(chan struct{}, 1), leaves: make(chan struct{}, 1)}
 	w.invalid = map[core.FeedTable]*invalidEntries{
 		core.FeedOperator: newInvalidEntries(t, m, core.FeedOperator), core.FeedServers: newInvalidEntries(t, m, core.FeedServers),
 	}
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -68,6 +68,7 @@
 	Running     int           // requests that the server executes
 	Waiting     int           // requests in the server's queue
 	RateLimit   RateLimit     // the request rate that the server accepts
+	Leaving     bool          // the server says that it leaves
 	ConnectTime time.Duration // time until a connection to the server was available; measured by this host
 	BodySent    int64         // bytes of the request's body that were written to the server; counted by this host
 }
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -58,6 +58,8 @@
 	// OnLimit is called for each change of a server's limit and for each limit
 	// that cannot be used. Nil is allowed.
 	OnLimit func(LimitChange)
+	// OnLeave is called for each notice that is new to this host. Nil is allowed.
+	OnLeave func(LeaveNotice)
 }
 
 // Picker holds this host's knowledge of the backend servers. It is safe for
@@ -68,6 +70,7 @@
 	mu              sync.Mutex
 	servers         map[core.ServerID]*server
 	removed         map[core.ServerID]lastReport // servers whose entries were removed
+	leaves          map[core.ServerID]leave      // servers that have said that they leave
 	services        map[core.ServiceID][]*server // listed and ready servers
 	servicesStale   bool                         // entries changed since services and the weights were computed
 	evacuated       map[core.DomainID]bool
@@ -115,6 +118,7 @@
 		cfg:             cfg,
 		servers:         make(map[core.ServerID]*server),
 		removed:         make(map[core.ServerID]lastReport),
+		leaves:          make(map[core.ServerID]leave),
 		services:        make(map[core.ServiceID][]*server),
 		evacuated:       make(map[core.DomainID]bool),
 		processingTimes: make(map[core.ServiceID]time.Duration),
@@ -241,6 +245,7 @@
 			v.requestCheck(now, s)
 		}
 	}
+	v.dropOldLeaves(now)
 	for id, last := range v.removed {
 		if now >= last.removedAt+lateReportTime {
 			delete(v.removed, id)
@@ -272,7 +277,7 @@
 	v.servicesStale = false
 	clear(v.services)
 	for _, s := range v.servers {
-		if s.listed && s.State == core.InstanceReady {
+		if s.listed && s.State == core.InstanceReady && !v.saysItLeaves(s) {
 			v.services[s.Service] = append(v.services[s.Service], s)
 		}
 	}
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -24,6 +24,7 @@
 	checks      []core.ServerID
 	domainHosts []core.HostID
 	onLimit     func(picker.LimitChange)
+	leaves      []picker.LeaveNotice // notices that were new to the view
 }
 
 var regions = map[core.DomainID]core.RegionID{"a": "north", "b": "north", "c": "south"}
@@ -40,6 +41,7 @@
 			return &core.ServiceConfig{MaxConns: maxConns, HealthPath: "/health", ColdDuration: 3 * time.Second, ColdRate: 2.5}
 		},
 		RequestCheck: func(i core.Instance) { env.checks = append(env.checks, i.Name) },
+		OnLeave:      func(n picker.LeaveNotice) { env.leaves = append(env.leaves, n) },
 		OnLimit: func(c picker.LimitChange) {
 			if env.onLimit != nil {
 				env.onLimit(c)
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -319,6 +319,7 @@
 	r.record.ConnectTime = meta.ConnectTime
 	r.record.BodySent = append(r.record.BodySent, meta.BodySent)
 	r.cfg.Picker.RecordLimit(lease.Instance, meta)
+	r.cfg.Picker.RecordLeave(lease.Instance, meta)
 	var load *picker.Load
 	if meta.HasLoad {
 		load = &picker.Load{Running: meta.Running, Queued: meta.Waiting}
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -41,6 +41,7 @@
 	loans    metric.Int64Counter
 	entries  metric.Int64Counter
 	late     metric.Int64Counter
+	leaves   metric.Int64Counter
 }
 
 // New returns metrics with a new Prometheus registry.
@@ -77,6 +78,7 @@
 		{&m.permits, "azurering_permits", "Requests for permits to use servers that name a limit, by result."},
 		{&m.loans, "azurering_loans", "Requests to other hosts for a part of a workspace's rate, by result."},
 		{&m.late, "azurering_catchup_late", "Changes of the store's tables that reached this host later than a quarter of a second after it had heard of them, by table."},
+		{&m.leaves, "azurering_leave_notices", "Backend servers that have said in an answer, to this host or to another one, that they leave."},
 		{&m.entries, "azurering_invalid_entries", "Entries of the store's tables that cannot be used, by table."},
 	}
 	for _, c := range counters {
@@ -132,6 +134,9 @@
 	m.late.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", string(table))))
 }
 
+// CountLeaveNotice counts a server that has said that it leaves.
+func (m *Metrics) CountLeaveNotice() { m.leaves.Add(context.Background(), 1) }
+
 // CountLoan counts a request to another host for a part of a workspace's rate.
 func (m *Metrics) CountLoan(result string) {
 	m.loans.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
