space, conns, front: bound the memory that all buffered bodies take together

Each answer was bounded, the sum was not: up to 1 MB is buffered before the first byte goes on, doubled while it grows, and copied once more to be written behind its head.

When that is taken, a body is passed on as it arrives, like one of over 1 MB: the requests go on, but cannot be repeated on another server once their body has been read. Bodies of over 64 KB are no longer copied to be written. Heads, chunk sizes and trailers were bounded before.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -20,6 +20,7 @@
 	"azurering/core/proxy"
 	"azurering/core/quota"
 	"azurering/core/retry"
+	"azurering/core/space"
 	"azurering/core/timer"
 	"azurering/io/beacon"
 	"azurering/io/conns"
@@ -56,6 +57,7 @@
 	pool     *conns.Pool
 	state    *clusterState
 	view     *picker.Picker
+	bodies   *space.Pool
 	proxy    *proxy.Proxy
 	recorder *recorder
 	bootTime uint64 // Unix milliseconds; tells restarts apart
@@ -73,11 +75,11 @@
 
 func newHost(
 	cfg Config, t core.Timer, feed core.Feed, m *metric.Metrics, members *gossip.Members, l *quota.Limiter, b *retry.Budget, pool *conns.Pool,
-	w *clusterState, view *picker.Picker, r *recorder, c *checker,
+	w *clusterState, view *picker.Picker, r *recorder, c *checker, bodies *space.Pool,
 ) *host {
 	h := &host{
 		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, state: w, view: view,
-		recorder: r, bootTime: uint64(time.Now().UnixMilli()), announced: &announcements{upTo: make(map[core.FeedTable]time.Duration)},
+		recorder: r, bodies: bodies, bootTime: uint64(time.Now().UnixMilli()), announced: &announcements{upTo: make(map[core.FeedTable]time.Duration)},
 		catchUpWake: map[core.FeedTable]chan struct{}{
 			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
 		},
@@ -111,7 +113,7 @@
 		return err
 	}
 	h.front = front.New(front.Config{
-		Timer: h.timer, Dialect: h.cfg.Dialect, Handle: h.serve, Limits: h.state.limits, Log: h.cfg.Log,
+		Timer: h.timer, Dialect: h.cfg.Dialect, Handle: h.serve, Limits: h.state.limits, Space: h.bodies, Log: h.cfg.Log,
 	})
 	if err := h.registerGauges(); err != nil {
 		return err
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -23,6 +23,7 @@
 	AffinityKey   string        // affinity key for sticky routes; may be empty
 	Timeout       time.Duration // the caller's timeout, counted from Arrived; 0 if it sent none
 	Arrived       time.Duration // local monotonic time
+	Release       func()        // gives back the memory of Body after the call has been handled; nil if there is nothing to give back
 }
 
 // CanSend reports whether the call can be sent to a server with its whole body.
@@ -55,6 +56,18 @@
 	Body          []byte        // the whole body, or its beginning if Rest is set
 	BodyRest      io.ReadCloser // the rest of a large body; a read error means that the answer is incomplete
 	ContentLength int64         // of the whole body in bytes, -1 if unknown
+	Release       func()        // gives back the memory of Body; nil if there is nothing to give back
+}
+
+// Close ends the use of a reply. Body and BodyRest must not be used after it. Further
+// calls do nothing.
+func (r *Reply) Close() {
+	if r.BodyRest != nil {
+		_ = r.BodyRest.Close()
+	}
+	if r.Release != nil {
+		r.Release()
+	}
 }
 
 // ReplyMeta holds what a server reports in the headers of an answer.
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -361,6 +361,9 @@
 	if !retryable {
 		return reply, core.SendUnknown, nil
 	}
+	if r.failedReply != nil {
+		r.failedReply.Close()
+	}
 	r.failedReply = reply
 	return nil, core.SendUnknown, codes.New(codes.ServerFailed, "proxy: server %s answered with status %d", lease.Name, reply.Status)
 }
--- /dev/null
+++ b/core/space/space.go
@@ -0,0 +1,123 @@
+// Package space bounds the memory that the buffers of a process take together.
+// Hosts use it for the bodies of requests and answers: each of them is bounded, but
+// hundreds at once would take more than a process may have.
+package space
+
+import (
+	"io"
+	"runtime"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// minBuffer is the size in bytes up to which a buffer does not count, so that short
+// bodies are always buffered whole.
+const minBuffer = 4 << 10
+
+// Config configures a Pool.
+type Config struct {
+	Bytes int64 // that all buffers may take together; 0 means no bound
+}
+
+// Pool is the memory for buffers. A nil Pool has no bound. It is safe for concurrent
+// use.
+type Pool struct {
+	bytes int64
+	taken atomic.Int64
+}
+
+// New returns a pool.
+func New(cfg Config) *Pool { return &Pool{bytes: cfg.Bytes} }
+
+// Taken returns how many bytes are taken.
+func (p *Pool) Taken() int64 { return p.taken.Load() }
+
+// take takes a number of bytes, or returns false if there are not as many.
+func (p *Pool) take(n int64) bool {
+	if p == nil {
+		return true
+	}
+	if taken := p.taken.Add(n); p.bytes > 0 && taken > p.bytes {
+		p.taken.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Buffer holds the beginning of a stream. It is not safe for concurrent use, apart
+// from Release.
+type Buffer struct {
+	Bytes []byte
+	// Whole is set if the stream has ended and Bytes has all of it.
+	Whole bool
+	claim *claim
+}
+
+// claim is what a buffer has taken of its pool.
+type claim struct {
+	pool  *Pool
+	bytes atomic.Int64
+}
+
+// release gives back what was taken.
+func (c *claim) release() {
+	if n := c.bytes.Swap(0); n > 0 && c.pool != nil {
+		c.pool.taken.Add(-n)
+	}
+}
+
+// Read reads a stream until it ends, for at most limit bytes and for as long as the
+// pool has memory. size is the number of bytes to expect, or negative if it is not
+// known. A stream of exactly limit bytes does not count as whole. Read fails if the
+// stream does.
+func (p *Pool) Read(r io.Reader, limit int, size int64) (*Buffer, error) {
+	b := &Buffer{claim: &claim{pool: p}}
+	// Buffers that are dropped without Release, for example the answer to a request
+	// that has been given up, are released when they are collected.
+	runtime.AddCleanup(b, (*claim).release, b.claim)
+	if size >= 0 {
+		limit = min(limit, int(min(size, int64(limit)))+1) // one more, to see the end
+	}
+	for len(b.Bytes) < limit {
+		if len(b.Bytes) == cap(b.Bytes) && !b.grow(limit) {
+			return b, nil
+		}
+		n, err := r.Read(b.Bytes[len(b.Bytes):min(cap(b.Bytes), limit)])
+		b.Bytes = b.Bytes[:len(b.Bytes)+n]
+		if errors.Is(err, io.EOF) {
+			b.Whole = true
+			return b, nil
+		}
+		if err != nil {
+			b.Release()
+			return nil, errors.Wrap(err, "space: stream cannot be read to its end")
+		}
+	}
+	return b, nil
+}
+
+// grow makes room for more bytes. It returns false if the pool has no memory for
+// that.
+func (b *Buffer) grow(limit int) bool {
+	to := min(max(2*cap(b.Bytes), minBuffer), limit)
+	more := int64(to - cap(b.Bytes))
+	if to > minBuffer {
+		if !b.claim.pool.take(more) {
+			return false
+		}
+		b.claim.bytes.Add(more)
+	}
+	grown := make([]byte, len(b.Bytes), to)
+	copy(grown, b.Bytes)
+	b.Bytes = grown
+	return true
+}
+
+// Release gives the buffer's memory back to the pool. Bytes must not be used after
+// it. Further calls, and those on nil, do nothing.
+func (b *Buffer) Release() {
+	if b != nil {
+		b.claim.release()
+	}
+}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"math"
 	"net"
@@ -20,7 +19,8 @@
 
 const (
 	// maxBufferedBody bounds, in bytes, the response body that is buffered before
-	// any of it goes to the caller. Only large downloads are longer.
+	// any of it goes to the caller. Only large downloads are longer. Less is buffered
+	// while the bodies of other requests take the memory.
 	maxBufferedBody = 1 << 20
 	// maxHeadBytes bounds the head of a response. A damaged server may send one
 	// without end.
@@ -162,20 +162,20 @@
 		c.fail(x, err)
 		return false
 	}
-	body, isComplete, err := readUpTo(resp.Body, maxBufferedBody)
+	body, err := c.pool.cfg.Space.Read(resp.Body, maxBufferedBody, resp.ContentLength)
 	if err != nil {
-		c.fail(x, err)
+		c.fail(x, errors.Wrap(err, "conns: response body is truncated"))
 		return false
 	}
-	reply := &core.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, ContentLength: resp.ContentLength}
-	if !isComplete {
+	reply := &core.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body.Bytes, ContentLength: resp.ContentLength, Release: body.Release}
+	if !body.Whole {
 		reply.BodyRest = &streamedBody{ReadCloser: resp.Body, conn: c}
 		x.done <- result{reply: reply, meta: meta}
 		// The receiver of the reply reads the rest of the body and closes the
 		// connection afterwards.
 		return false
 	}
-	reply.ContentLength = int64(len(body))
+	reply.ContentLength = int64(len(body.Bytes))
 	wasWritten := x.wasWritten()
 	c.mu.Lock()
 	isReusable := wasWritten && !hadStray && !resp.Close && c.reader.Buffered() == 0 && !c.closed && x.requestID != ""
@@ -231,17 +231,6 @@
 	return nil, meta, hadStray, errTooManyStray
 }
 
-// readUpTo reads a body up to limit bytes. A body of exactly limit bytes counts as
-// incomplete.
-func readUpTo(r io.Reader, limit int) (body []byte, isComplete bool, err error) {
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(r, int64(limit)))
-	if err != nil {
-		return nil, false, errors.Wrap(err, "conns: response body is truncated")
-	}
-	return b.Bytes(), n < int64(limit), nil
-}
-
 // keepAliveTimeout returns how long the connection may stay idle, from the
 // server's Keep-Alive header.
 func keepAliveTimeout(h http.Header) time.Duration {
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"azurering/core"
+	"azurering/core/space"
 )
 
 const (
@@ -46,6 +47,8 @@
 type Config struct {
 	Timer   core.Timer
 	Dialect core.HeaderCodec
+	// Space holds the bodies of responses. Nil means without a bound.
+	Space *space.Pool
 	// Dial opens connections. Nil means TCP with keep-alive probes and a limit
 	// for unacknowledged data.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -140,9 +143,7 @@
 		return nil, r.meta, &core.SendError{State: core.SendUnknown, Cause: r.err}
 	}
 	if r.meta.NotExecuted {
-		if r.reply.BodyRest != nil {
-			_ = r.reply.BodyRest.Close()
-		}
+		r.reply.Close()
 		return nil, r.meta, &core.SendError{State: core.SendRefused, Cause: errors.Errorf("conns: server responded with status %d that it did not run the request", r.reply.Status)}
 	}
 	r.reply.Header = p.cfg.Dialect.ResponseHeader(r.reply.Header)
@@ -308,5 +309,6 @@
 	if err != nil {
 		return false, meta, err
 	}
+	reply.Close()
 	return reply.Status == http.StatusOK && meta.Instance == s.Name, meta, nil
 }
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -26,8 +26,12 @@
 	// their response to be written.
 	maxPipelined = 16
 	// maxBufferedBody bounds, in bytes, the request body that is buffered before
-	// the request is forwarded, so that the request can be retried.
+	// the request is forwarded, so that the request can be retried. Less is buffered
+	// while the bodies of other requests take the memory.
 	maxBufferedBody = 1 << 20
+	// maxJoinedBody is the size in bytes up to which a body is copied behind its head, to
+	// be written in one call.
+	maxJoinedBody = 64 << 10
 	// writeTimeout bounds each write of a response.
 	writeTimeout   = 10 * time.Second
 	readBufferSize = 8 << 10
@@ -141,7 +145,12 @@
 		}
 		c.streamsBody = x.call.BodyRest != nil
 		c.exchanges <- x
-		go func() { x.reply <- c.handle(x.call) }()
+		go func() {
+			x.reply <- c.handle(x.call)
+			if x.call.Release != nil {
+				x.call.Release()
+			}
+		}()
 		if x.closeAfter {
 			// Requests pipelined behind this one are not served; the caller
 			// sees the close and sends them again.
@@ -279,13 +288,13 @@
 		c.exchanges <- &exchange{interim: true} // after the responses to earlier requests
 	}
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(req.Body, maxBufferedBody))
+	b, err := c.server.cfg.Space.Read(req.Body, maxBufferedBody, req.ContentLength)
 	if err != nil {
 		return classifyReadError(err)
 	}
-	call.Body = b.Bytes()
-	if n == maxBufferedBody && req.ContentLength != n {
+	call.Body, call.Release = b.Bytes, b.Release
+	n := int64(len(b.Bytes))
+	if !b.Whole && req.ContentLength != n {
 		call.BodyRest = &core.BodyStream{Source: req.Body, Stop: func() { _ = c.SetReadDeadline(time.Unix(0, 0)) }}
 		return nil
 	}
@@ -342,7 +351,7 @@
 		}
 		reply := <-x.reply
 		if c.ctx.Err() != nil {
-			closeRest(reply)
+			reply.Close()
 			continue
 		}
 		closeAfter := x.closeAfter || c.closesAfterResponse()
@@ -418,16 +427,10 @@
 	_ = c.SetReadDeadline(c.idleUntil)
 }
 
-func closeRest(r *core.Reply) {
-	if r.BodyRest != nil {
-		_ = r.BodyRest.Close()
-	}
-}
-
-// writeResponse writes a response and closes r.Rest. After an error the response
+// writeResponse writes a response and closes it. After an error the response
 // is incomplete, and the caller can tell by its length or chunks.
 func (c *conn) writeResponse(x *exchange, r *core.Reply, closeAfter bool) error {
-	defer closeRest(r)
+	defer r.Close()
 	var b bytes.Buffer
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.Status) + " " + http.StatusText(r.Status) + "\r\n")
 	_ = r.Header.Write(&b) // a bytes.Buffer does not fail
@@ -449,8 +452,7 @@
 		return err
 	}
 	if !isChunked {
-		b.Write(r.Body)
-		if _, err := c.Write(b.Bytes()); err != nil || r.BodyRest == nil {
+		if err := c.writeHeadAndBody(&b, r.Body); err != nil || r.BodyRest == nil {
 			return err
 		}
 		return c.streamRest(r, func(p []byte) error { _, err := c.Write(p); return err })
@@ -468,6 +470,19 @@
 	return err
 }
 
+// writeHeadAndBody writes a short body together with the head.
+func (c *conn) writeHeadAndBody(head *bytes.Buffer, body []byte) error {
+	if len(body) <= maxJoinedBody {
+		head.Write(body)
+		body = nil
+	}
+	if _, err := c.Write(head.Bytes()); err != nil || len(body) == 0 {
+		return err
+	}
+	_, err := c.Write(body)
+	return err
+}
+
 func (c *conn) writeChunk(p []byte) error {
 	if len(p) == 0 {
 		return nil
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"azurering/core"
+	"azurering/core/space"
 )
 
 // Config configures a Server. All fields are required.
@@ -29,7 +30,9 @@
 	// Limits returns the limits for requests in force. Zero values mean the
 	// defaults of this package; a zero BodyBytes means no limit.
 	Limits func() core.Limits
-	Log    logrus.FieldLogger
+	// Space holds the bodies of requests. Nil means without a bound.
+	Space *space.Pool
+	Log   logrus.FieldLogger
 }
 
 // Server accepts and serves connections of callers. It is safe for concurrent
