proxy, edge: take only requests that can be answered before the end of a planned stop

Orders whose bodies arrived late were passed on at any time of the stop.

Cause: a host that stops took everything for 2.8 s, and what it was reading then later still, whatever time its answer might take. Change: from the begin of the stop an order is refused with 503 unless its deadline comes before the last moment at which the host answers; then the host can answer it in any case. Other requests, which their callers can repeat, are sent for 2.9 s as before, and then under the same condition. The check stands before each choice of a server, so that late bodies and repeats pass it too. The refusal names no time to wait, since other hosts take the request at once.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -32,8 +32,11 @@
 // callers know this host from earlier look-ups. Answers are delivered until
 // stopMargin before the platform kills the process.
 const (
-	acceptAfterStop  = 2800 * time.Millisecond
-	stopMargin       = 300 * time.Millisecond
+	acceptAfterStop = 2800 * time.Millisecond
+	stopMargin      = 300 * time.Millisecond
+	// answerMargin is how long before that the last answers must be known: the time
+	// to write them.
+	answerMargin     = 100 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
 	// lookupTTL is how long callers use the answer of a look-up.
 	lookupTTL     = 2 * time.Second
@@ -62,6 +65,8 @@
 	recorder *recorder
 	bootTime uint64 // Unix milliseconds; tells restarts apart
 	leaving  atomic.Bool
+	// stopTimes is set once the host stops.
+	stopTimes atomic.Pointer[proxy.Stop]
 
 	// catchUpWake wakes runCatchUp of a table.
 	catchUpWake map[core.FeedTable]chan struct{}
@@ -87,7 +92,7 @@
 	h.pacer = h.newPacer()
 	h.proxy = proxy.New(proxy.Config{
 		Timer: t, Backends: pool, Picker: view, Limiter: l, Budget: b, CurrentTable: w.table.Load, BorrowTokens: h.borrow,
-		Permit: h.pacer.Permit,
+		Permit: h.pacer.Permit, Stop: h.stopTimes.Load,
 	})
 	c.permit = h.pacer.Permit
 	return h
@@ -246,11 +251,14 @@
 	from := h.timer.Now()
 	log.WithField("connections", h.front.NumConns()).Info("edge: shutdown begins")
 	h.leaving.Store(true)
+	accept := min(acceptAfterStop, h.cfg.Place.Bounds.ShutdownGrace/2)
+	until := from + h.cfg.Place.Bounds.ShutdownGrace - stopMargin
+	h.stopTimes.Store(&proxy.Stop{StartsUntil: from + accept + front.CloseDelay, AnswersUntil: until - answerMargin})
 	h.front.CloseAfterResponse()
 	h.sendHeartbeats()
-	<-h.timer.After(min(acceptAfterStop, h.cfg.Place.Bounds.ShutdownGrace/2))
+	<-h.timer.After(accept)
 	h.front.Close()
-	for until := from + h.cfg.Place.Bounds.ShutdownGrace - stopMargin; h.front.NumConns() > 0 && h.timer.Now() < until; {
+	for h.front.NumConns() > 0 && h.timer.Now() < until {
 		<-h.timer.After(stopPollInterval)
 	}
 	log.WithField("cut", h.front.NumConns()).Info("edge: shutdown ends")
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -57,6 +57,19 @@
 	BorrowTokens func(context.Context, core.WorkspaceID) bool
 	// Permit decides whether a request may be sent to a server that names a limit.
 	Permit func(context.Context, core.Instance) core.Permit
+	// Stop returns when the host ends, or nil while it does not stop. A nil Stop means
+	// that the host never does.
+	Stop func() *Stop
+}
+
+// Stop says how long a host that stops still takes requests.
+type Stop struct {
+	// StartsUntil is the end of the time in which requests are sent to servers that
+	// may be cut at the end of the host. Their callers can repeat them.
+	StartsUntil time.Duration
+	// AnswersUntil is when the last answers are sent. Requests whose deadlines are
+	// earlier are served as ever.
+	AnswersUntil time.Duration
 }
 
 // AccessRecord describes how a request was handled, for logs and metrics.
@@ -207,6 +220,9 @@
 func (r *request) acquire(ctx context.Context) (*picker.Lease, error) {
 	until := min(r.call.Arrived+time.Duration(maxHoldFraction*float64(r.rule.LatencyTarget)), r.deadline)
 	for {
+		if err := r.checkStop(); err != nil {
+			return nil, err
+		}
 		lease, err := r.choose(ctx, until)
 		earliest := r.cfg.Timer.Now() + holdPollInterval // of a choice that may end differently
 		var atLimit *picker.AtLimitError
@@ -230,6 +246,26 @@
 	}
 }
 
+// stopError is a refusal by a host that stops. Other hosts serve the request at once.
+type stopError struct{ error }
+
+// Unwrap returns the coded error.
+func (s *stopError) Unwrap() error { return s.error }
+
+// checkStop returns an error if the host stops and may end before the request is
+// answered. An order that is cut then can neither be repeated nor told to have
+// failed, so that none is sent.
+func (r *request) checkStop() error {
+	if r.cfg.Stop == nil {
+		return nil
+	}
+	stop := r.cfg.Stop()
+	if stop == nil || r.deadline <= stop.AnswersUntil || r.rule.Kind != core.RouteOrder && r.cfg.Timer.Now() < stop.StartsUntil {
+		return nil
+	}
+	return &stopError{codes.New(codes.NoCapacity, "proxy: host stops, and may end before the request is answered; use another host")}
+}
+
 // choose chooses a server. It passes over those that name a limit and for which no
 // permit is granted. After until it asks for no more permits.
 func (r *request) choose(ctx context.Context, until time.Duration) (*picker.Lease, error) {
@@ -404,9 +440,12 @@
 	wait := time.Duration(0)
 	var limited *rateLimitError
 	var atLimit *picker.AtLimitError
+	var stopping *stopError
 	switch {
 	case errors.As(err, &limited):
 		wait = limited.wait
+	case errors.As(err, &stopping):
+		wait = 0
 	case code == codes.NoConfig:
 		wait = startupRetryAfter
 	case errors.As(err, &atLimit):
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -64,6 +64,7 @@
 	permit   func(core.Instance) core.Permit
 	backends *fakeBackends
 	table    *routes.Table
+	stop     *proxy.Stop
 	proxy    *proxy.Proxy
 }
 
@@ -116,6 +117,7 @@
 			env.permits = append(env.permits, i.Name)
 			return env.permit(i)
 		},
+		Stop: func() *proxy.Stop { return env.stop },
 	})
 	return env
 }
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -415,7 +415,7 @@
 }
 
 // closeIdle closes the connection if no request is in flight and none arrives within
-// closeDelay. Otherwise the connection reads no further request.
+// CloseDelay. Otherwise the connection reads no further request.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -423,7 +423,7 @@
 		c.closing = true
 		return
 	}
-	c.idleUntil = time.Now().Add(closeDelay)
+	c.idleUntil = time.Now().Add(CloseDelay)
 	_ = c.SetReadDeadline(c.idleUntil)
 }
 
