gossip: hear a host again whose clock was set back before it started

Heartbeats are ordered by the start of the process, in the time of day. A host whose clock had been set back before it started again seemed to be an earlier process, and its heartbeats were ignored for ever: it was named in no look-up, and others read the store in its place. The start decides now only while the known process is heard; after 3 s of silence any other process of that host counts. TestHostWhoseClockWasSetBackIsHeardAgain failed before.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -178,7 +178,9 @@
 		return
 	}
 	p := v.peers[b.Host]
-	if p != nil && p.seen && !b.newerThan(p.Heartbeat) {
+	// A host whose clock was set back before it started again seems to have started
+	// earlier. Its earlier process is silent then.
+	if p != nil && p.seen && !b.newerThan(p.Heartbeat) && (b.StartedMs == p.StartedMs || now < p.lastSeen+remoteTimeout) {
 		return
 	}
 	v.peers[b.Host] = &peer{Heartbeat: b, seen: true, lastSeen: now - b.Age}
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -482,3 +482,23 @@
 		require.Len(t, reached, len(f.hosts), sender.Host)
 	}
 }
+
+// Guards against a host that counts as dead for ever, because its clock was set back
+// before it started again: its heartbeats seem to be those of an earlier process.
+// Late heartbeats of an earlier process must still be ignored while the new one is
+// heard.
+func TestHostWhoseClockWasSetBackIsHeardAgain(t *testing.T) {
+	clock := timer.NewManual()
+	v := view(clock)
+	receive(v, beat("a", 5000, 100))
+	receive(v, beat("a", 2000, 1))
+	require.EqualValues(t, 5000, v.Peers()[0].StartedMs)
+	clock.Advance(3 * time.Second)
+	require.Empty(t, alive(v))
+	receive(v, beat("a", 2000, 2))
+	require.Equal(t, []core.HostID{"a"}, alive(v))
+	require.EqualValues(t, 2000, v.Peers()[0].StartedMs)
+	clock.Advance(400 * time.Millisecond)
+	receive(v, beat("a", 2000, 1))
+	require.EqualValues(t, 2, v.Peers()[0].Seq)
+}
