edge: log copies of tables that nobody confirms

A line of event copy tells when the copy of a table is older than 2 s and when it is complete again; requests that are served meanwhile have the age as copyage. So a late change can be told from a host that was cut off.

--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -19,6 +19,9 @@
 	// heartbeatInterval is the time between two heartbeats. Loads at servers
 	// change within a second, and a failed host must be noticed within two.
 	heartbeatInterval = 400 * time.Millisecond
+	// oldCopyAge is the age from which the copy of a table counts as old in logs. A host
+	// that reaches the store, or others that do, has none.
+	oldCopyAge = 2 * time.Second
 	// hostListRetry is the delay before another attempt to register in the
 	// store's list of hosts and to read it.
 	hostListRetry = 500 * time.Millisecond
@@ -93,6 +96,7 @@
 			Demand: others.Demand, Hosts: others.Hosts, Complete: others.Complete,
 		})
 		h.logShares()
+		h.logCopyAges()
 		if others.Complete {
 			h.budget.SetHosts(len(others.Hosts) + 1)
 		}
@@ -114,6 +118,24 @@
 	}
 }
 
+// logCopyAges logs which copies have become too old to show what has changed, and
+// which are complete again.
+func (h *host) logCopyAges() {
+	for table, m := range h.state.mirrors {
+		age := m.Age()
+		if old := age > oldCopyAge; old != h.oldCopies[table] {
+			h.oldCopies[table] = old
+			_, newest := m.Versions()
+			log := h.cfg.Log.WithFields(logrus.Fields{"event": "copy", "table": table, "age": age.Milliseconds(), "newest": newest, "failing": m.Failing()})
+			if old {
+				log.Warn("edge: neither the store nor another host confirms the copy of a table; what is known stays in use")
+				continue
+			}
+			log.Info("edge: copy of a table is complete again")
+		}
+	}
+}
+
 // suspectSilentServers keeps requests from servers that are silent while orders wait
 // there.
 func (h *host) suspectSilentServers() {
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -71,6 +71,7 @@
 	// catchUpWake wakes runCatchUp of a table.
 	catchUpWake map[core.FeedTable]chan struct{}
 	announced   *announcements
+	oldCopies   map[core.FeedTable]bool // copies that were old at the last heartbeat; used by runHeartbeats
 
 	front       *front.Server
 	beacon      *beacon.Transport
@@ -85,6 +86,7 @@
 	h := &host{
 		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, state: w, view: view,
 		recorder: r, bodies: bodies, bootTime: uint64(time.Now().UnixMilli()), announced: &announcements{upTo: make(map[core.FeedTable]time.Duration)},
+		oldCopies: make(map[core.FeedTable]bool),
 		catchUpWake: map[core.FeedTable]chan struct{}{
 			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
 		},
--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -19,9 +20,12 @@
 type recorder struct {
 	log     logrus.FieldLogger
 	metrics *metric.Metrics
+	copyAge func() time.Duration // age of the copy of the list of servers
 }
 
-func newRecorder(cfg Config, m *metric.Metrics) *recorder { return &recorder{log: cfg.Log, metrics: m} }
+func newRecorder(cfg Config, m *metric.Metrics, w *clusterState) *recorder {
+	return &recorder{log: cfg.Log, metrics: m, copyAge: w.mirrors[core.FeedServers].Age}
+}
 
 // logRequest writes one log line for a request and counts its outcome.
 func (r *recorder) logRequest(c *core.Call, d proxy.AccessRecord, callerLeft bool) {
@@ -40,6 +44,9 @@
 			fields["body"], fields["sent"] = c.ContentLength, joinSizes(d.BodySent)
 		}
 	}
+	if age := r.copyAge(); age > oldCopyAge {
+		fields["copyage"] = age.Milliseconds()
+	}
 	if d.RemovedFor > 0 {
 		fields["removed"] = d.RemovedFor.Milliseconds()
 		r.metrics.CountLapsedUse()
