mirror, gossip: confirm nothing by a part of the changes, and drop what is not used any more

A response of the store that had room for a part of the changes shows no copy as complete: TestPartOfTheChangesConfirmsNothing fails without that. The choice of the host with the highest version has no user any more; its test now checks the order of Sources. Lender is the first of Lenders. The test of endless answers loses what it did not need.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -45,7 +45,7 @@
 // It asks one host after the other without waiting for those that do not answer.
 func (h *host) catchUp(ctx context.Context, table core.FeedTable) {
 	heard, delay := h.timer.Now(), time.Duration(0)
-	switch from, _, _ := h.missing(table); {
+	switch from, _ := h.missing(table); {
 	case from == "":
 		return
 	case h.members.FollowsStore():
@@ -61,7 +61,7 @@
 	f := fetches{host: h, table: table, heard: heard, asked: make(map[string]bool), done: make(chan fetched, maxFetches)}
 	for ctx.Err() == nil && f.next(ctx) {
 		hedge := hedgeDelay
-		if _, _, asOf := h.missing(table); asOf == 0 {
+		if _, asOf := h.missing(table); asOf == 0 {
 			hedge = fetchTimeout // a whole table takes longer, and costs more to fetch twice
 		}
 		select {
@@ -74,15 +74,14 @@
 }
 
 // missing returns the address of the host to ask first for the changes of a table,
-// the version of the newest change, and the version up to which this host's copy
-// is complete. The address is "" if this host has all changes.
-func (h *host) missing(table core.FeedTable) (from string, newest, asOf uint64) {
+// and the version up to which this host's copy is complete. The address is "" if no
+// live host reports a newer change.
+func (h *host) missing(table core.FeedTable) (from string, asOf uint64) {
 	asOf, _ = h.state.mirrors[table].Versions()
-	newest, _ = h.members.NewestVersion(table)
 	if sources := h.members.Sources(table, asOf); len(sources) > 0 {
 		from = sources[0]
 	}
-	return from, newest, asOf
+	return from, asOf
 }
 
 // fetches are the attempts to fetch the missing changes of a table.
--- a/app/edge/catchup_test.go
+++ b/app/edge/catchup_test.go
@@ -39,7 +39,7 @@
 	l.next()
 	require.True(t, l.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-1", 1)}, Version: 20, Newest: 1}))
 	for newest, lacks := range map[uint64]bool{1: false, 15: false, 20: false, 21: true} {
-		from, _, asOf := follower(t, l, newest).missing(core.FeedServers)
+		from, asOf := follower(t, l, newest).missing(core.FeedServers)
 		require.Equal(t, lacks, from != "", "newest change %d", newest)
 		require.EqualValues(t, 20, asOf)
 	}
--- a/core/feed.go
+++ b/core/feed.go
@@ -28,6 +28,7 @@
 type Records struct {
 	Rows    []Record
 	Version uint64
+	Partial bool // there are more changes than the store returned at once
 }
 
 // Feed reads and follows tables of the platform's store. It is safe for
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -329,14 +329,12 @@
 		f.hosts[i].Versions = map[core.FeedTable]uint64{core.FeedServers: 7}
 	}
 	f.run(4 * time.Second)
-	version, from := f.views["b1"].NewestVersion(core.FeedServers)
-	require.EqualValues(t, 7, version)
-	require.Equal(t, "b0", from)
+	require.Equal(t, []string{"b0", "a0", "a1"}, f.views["b1"].Sources(core.FeedServers, 6))
+	require.Empty(t, f.views["b1"].Sources(core.FeedServers, 7))
 	f.hosts[0].Versions = map[core.FeedTable]uint64{core.FeedServers: 9}
 	f.run(time.Second)
-	version, from = f.views["b1"].NewestVersion(core.FeedServers)
-	require.EqualValues(t, 9, version)
-	require.Equal(t, "a0", from)
+	require.Equal(t, []string{"a0"}, f.views["b1"].Sources(core.FeedServers, 7))
+	require.Equal(t, []string{"b0", "a0", "a1"}, f.views["b1"].Sources(core.FeedServers, 6), "the other host of the domain comes first")
 }
 
 // A host that has lent its last tokens must not be asked again before its
--- a/core/gossip/source.go
+++ b/core/gossip/source.go
@@ -8,13 +8,6 @@
 	"azurering/core"
 )
 
-// NewestVersion returns the version of the newest change of a table that another
-// live host reports, and the address of a host that has it, preferably one of
-// this host's domain. It returns 0 and "" if no host reports a change.
-func (v *Members) NewestVersion(t core.FeedTable) (version uint64, address string) {
-	return v.bestPeer(func(b *Heartbeat) uint64 { return b.Versions[t] }, true)
-}
-
 // Sources returns the addresses of the live hosts that report a newer change of a
 // table than a version: those of this host's domain first, then those with the
 // newest change.
@@ -28,45 +21,12 @@
 }
 
 // Lender returns the address of the live host from which to borrow rate tokens
-// of a workspace: the one with the most spare tokens, preferably of this
-// host's domain. It returns "" if no host has any.
+// of a workspace: the first one of Lenders. It returns "" if no host has any.
 func (v *Members) Lender(w core.WorkspaceID) string {
-	_, address := v.bestPeer(func(b *Heartbeat) uint64 { return uint64(b.SpareTokens[w]) }, false)
-	return address
-}
-
-// bestPeer returns the value and the address of the preferred live host. With
-// valueFirst, that is the one with the highest value, and hosts of this host's
-// domain win ties; otherwise hosts of this host's domain come first, and among
-// them the highest value. Remaining ties go to the lowest name. Values of 0 do
-// not count.
-func (v *Members) bestPeer(value func(*Heartbeat) uint64, valueFirst bool) (most uint64, address string) {
-	now := v.cfg.Timer.Now()
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var best *peer
-	better := func(p *peer, n uint64) bool {
-		local, bestLocal := p.Domain == v.cfg.Self.Domain, best.Domain == v.cfg.Self.Domain
-		switch {
-		case valueFirst && n != most:
-			return n > most
-		case local != bestLocal:
-			return local
-		case n != most:
-			return n > most
-		}
-		return p.Host < best.Host
-	}
-	for _, p := range v.peers {
-		n := value(&p.Heartbeat)
-		if n > 0 && v.isAlive(now, p) && (best == nil || better(p, n)) {
-			best, most = p, n
-		}
-	}
-	if best == nil {
-		return 0, ""
+	if lenders := v.Lenders(w); len(lenders) > 0 {
+		return lenders[0]
 	}
-	return most, best.Address
+	return ""
 }
 
 // Lenders returns the addresses of the live hosts that have spare tokens of a
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -46,8 +46,8 @@
 	Table core.FeedTable
 	Feed  core.Feed
 	Timer core.Timer
-	// PollTimeout is how long one call to Feed.Follow waits for changes. A dead
-	// connection is noticed after that time.
+	// PollTimeout is how long one call to Feed.Follow waits for changes, unless the
+	// copy becomes too old meanwhile.
 	PollTimeout time.Duration
 	// OnChange is called with each change, one call at a time, and after each
 	// listing, even if no row changed.
@@ -267,13 +267,17 @@
 	if err != nil {
 		return m.handleError(ctx, call, start, err)
 	}
-	if len(got.Rows) == 0 && m.cfg.Timer.Now() >= start+wait {
-		start += wait // the store has answered at the end of the wait
+	complete := start
+	switch {
+	case got.Partial:
+		complete = 0
+	case len(got.Rows) == 0 && m.cfg.Timer.Now() >= start+wait:
+		complete = start + wait // the store has answered at the end of the wait
 	}
 	if got.Version < from {
 		return codes.New(codes.StoreDown, "mirror: store answered from version %d, which is older than version %d of the copy", got.Version, from)
 	}
-	m.applyResponse(after, start, got)
+	m.applyResponse(after, complete, got)
 	return nil
 }
 
@@ -315,7 +319,8 @@
 }
 
 // applyResponse applies the response of a call that was made at version after. The
-// response holds all changes that the store had acknowledged by a time.
+// response holds all changes that the store had acknowledged by a time, or 0 if that
+// is not known.
 func (m *Mirror) applyResponse(after uint64, complete time.Duration, got core.Records) {
 	m.changedMu.Lock()
 	defer m.changedMu.Unlock()
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -335,3 +335,21 @@
 	require.Equal(t, []core.Record{row("config", 60), removal("b", 61)}, l.mirror.Snapshot(40).Rows)
 	require.Equal(t, []core.Record{removal("b", 61)}, l.mirror.Snapshot(60).Rows)
 }
+
+// Guards against a copy that counts as complete after a response that had room for a
+// part of the changes only.
+func TestPartOfTheChangesConfirmsNothing(t *testing.T) {
+	part := records(20, row("a", 15))
+	part.records.Partial = true
+	l := newFixture(records(10, row("a", 3)))
+	completeAt := func(responses ...response) time.Duration {
+		l.feed.responses = append(l.feed.responses, responses...)
+		l.run(t)
+		return l.clock.Now() - l.mirror.Age()
+	}
+	listed := completeAt()
+	l.clock.Advance(time.Second)
+	require.Equal(t, listed, completeAt(part))
+	l.clock.Advance(time.Second)
+	require.Greater(t, completeAt(records(30, row("a", 25))), listed)
+}
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -135,21 +134,15 @@
 func TestServersThatSendWithoutEndExhaustNoMemory(t *testing.T) {
 	c := newCluster(t, buildBinary(t), 1)
 	c.awaitReady()
-	listenAll := func(forms map[string][2]string) *atomic.Int64 {
-		var sent atomic.Int64
-		n := 0
-		for name, form := range forms {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			t.Cleanup(func() { _ = listener.Close() })
-			s := &endlessServer{listener: listener, form: form, sent: &sent}
-			go s.run()
-			n++
-			s.register(c.store, "i-endless-"+strings.ReplaceAll(name, " ", "-"), "endless")
-		}
-		return &sent
+	var sent atomic.Int64
+	for name, form := range endlessAnswers {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		s := &endlessServer{listener: listener, form: form, sent: &sent}
+		go s.run()
+		s.register(c.store, "i-endless-"+strings.ReplaceAll(name, " ", "-"), "endless")
 	}
-	sent := listenAll(endlessAnswers)
 	c.mu.Lock()
 	rules := c.rules
 	rules.Version += 10
@@ -179,5 +172,4 @@
 	c.awaitService()
 	cancel()
 	all.Wait()
-	h.signal(syscall.SIGCONT)
 }
