front: give back the memory of a long answer's beginning before the rest is passed on

A slow reader kept up to 1 MB of the memory that all bodies share until the whole answer was written, although that part had been sent. Comments of the age of copies say what the values leave time for.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -89,7 +89,7 @@
 	host    *host
 	table   core.FeedTable
 	heard   time.Duration   // when this host heard of the changes
-	asked   map[string]bool // hosts that have been asked and had nothing new, or have not answered yet
+	asked   map[string]bool // hosts that failed, had nothing new, or have not answered yet
 	running int
 	done    chan fetched
 }
--- a/app/edge/news.go
+++ b/app/edge/news.go
@@ -61,7 +61,7 @@
 	}
 	tables, late := make(map[core.FeedTable]gossip.TableNews), false
 	for table, m := range h.state.mirrors {
-		age := m.Age()
+		age := m.Age() // before the version, which may grow meanwhile
 		_, newest := m.Versions()
 		tables[table] = gossip.TableNews{Newest: newest, Age: age}
 		late = h.announced.advance(table, h.timer.Now()-age, minNewsStep) || late
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -65,6 +65,13 @@
 	if r.BodyRest != nil {
 		_ = r.BodyRest.Close()
 	}
+	r.ReleaseBody()
+}
+
+// ReleaseBody gives back the memory of Body, which must not be used after it. Further
+// calls do nothing.
+func (r *Reply) ReleaseBody() {
+	r.Body = nil
 	if r.Release != nil {
 		r.Release()
 	}
--- a/core/mirror/confirm.go
+++ b/core/mirror/confirm.go
@@ -7,11 +7,11 @@
 	// all others.
 	confirmWait = 400 * time.Millisecond
 	// maxFollowerAge is the age of the copy after which a host that follows the store
-	// gives up a call that waits for changes and makes another one: time for one
-	// confirmation, and for a lost one.
+	// gives up a call that waits for changes and makes another one. Confirmations come
+	// more often than that.
 	maxFollowerAge = 700 * time.Millisecond
-	// maxAge is the same for other hosts, which read the store themselves then. It
-	// leaves time for a host that follows the store to confirm.
+	// maxAge is the age after which any other host reads the store itself. It leaves
+	// time for one lost confirmation.
 	maxAge = 900 * time.Millisecond
 	// maxPending bounds the confirmations that wait for their version.
 	maxPending = 16
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -455,6 +455,7 @@
 		if err := c.writeHeadAndBody(&b, r.Body); err != nil || r.BodyRest == nil {
 			return err
 		}
+		r.ReleaseBody() // the rest may take long
 		return c.streamRest(r, func(p []byte) error { _, err := c.Write(p); return err })
 	}
 	if _, err := c.Write(b.Bytes()); err != nil {
@@ -463,6 +464,7 @@
 	if err := c.writeChunk(r.Body); err != nil {
 		return err
 	}
+	r.ReleaseBody()
 	if err := c.streamRest(r, c.writeChunk); err != nil {
 		return err
 	}
