--- a/core/dialect.go
+++ b/core/dialect.go
@@ -74,6 +74,7 @@
 	r.Body = nil
 	if r.Release != nil {
 		r.Release()
+		r.Release = nil
 	}
 }
 
--- a/core/space/space.go
+++ b/core/space/space.go
@@ -45,8 +45,7 @@
 	return true
 }
 
-// Buffer holds the beginning of a stream. It is not safe for concurrent use, apart
-// from Release.
+// Buffer holds the beginning of a stream. It is not safe for concurrent use.
 type Buffer struct {
 	Bytes []byte
 	// Whole is set if the stream has ended and Bytes has all of it.
@@ -114,10 +113,11 @@
 	return true
 }
 
-// Release gives the buffer's memory back to the pool. Bytes must not be used after
-// it. Further calls, and those on nil, do nothing.
+// Release gives the buffer's memory back to the pool. What was in Bytes must not be
+// used or kept after it. Further calls, and those on nil, do nothing.
 func (b *Buffer) Release() {
 	if b != nil {
+		b.Bytes = nil // before others may take the memory
 		b.claim.release()
 	}
 }
--- a/core/space/space_test.go
+++ b/core/space/space_test.go
@@ -33,6 +33,7 @@
 			b.Release()
 			b.Release()
 			require.Zero(t, p.Taken())
+			require.Nil(t, b.Bytes, "memory that was given back must not be held")
 		}
 	}
 }
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -148,6 +148,7 @@
 		go func() {
 			x.reply <- c.handle(x.call)
 			if x.call.Release != nil {
+				x.call.Body = nil
 				x.call.Release()
 			}
 		}()
