picker: keep the leave notices of each start of a server apart

A notice of a start that seems earlier than the one that was known was ignored: that of a server whose clock had been set back before it started again under its id. Notices are now kept by server and start. Found while reading the change; TestNoticeCountsAfterTheClockWasSetBack failed before.

--- a/core/picker/leave.go
+++ b/core/picker/leave.go
@@ -15,11 +15,16 @@
 	Source    string // failure domain of the host that passed the notice on; empty for an answer of the server
 }
 
+// startID names one start of a server.
+type startID struct {
+	server    core.ServerID
+	startedMs int64
+}
+
 // leave is a notice that has been heard.
 type leave struct {
-	startedMs int64
-	heardAt   time.Duration
-	untold    bool // TakeUntoldLeaves has not returned it
+	heardAt time.Duration
+	untold  bool // TakeUntoldLeaves has not returned it
 }
 
 // RecordLeave records what an answer says about whether its server leaves. The server
@@ -36,12 +41,13 @@
 
 func (v *Picker) recordLeave(n LeaveNotice, untold bool) {
 	now := v.cfg.Timer.Now()
+	start := startID{n.Server, n.StartedMs}
 	v.mu.Lock()
-	if known, ok := v.leaves[n.Server]; ok && known.startedMs >= n.StartedMs {
+	if _, ok := v.leaves[start]; ok {
 		v.mu.Unlock()
 		return
 	}
-	v.leaves[n.Server] = leave{startedMs: n.StartedMs, heardAt: now, untold: untold}
+	v.leaves[start] = leave{heardAt: now, untold: untold}
 	v.servicesStale = true
 	v.mu.Unlock()
 	if v.cfg.OnLeave != nil {
@@ -55,32 +61,34 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var list map[core.ServerID]int64
-	for id, l := range v.leaves {
+	for start, l := range v.leaves {
 		if !l.untold {
 			continue
 		}
 		if list == nil {
 			list = make(map[core.ServerID]int64)
 		}
-		list[id] = l.startedMs
+		list[start.server] = start.startedMs
 		l.untold = false
-		v.leaves[id] = l
+		v.leaves[start] = l
 	}
 	return list
 }
 
 // saysItLeaves reports whether a server has said that it leaves.
 func (v *Picker) saysItLeaves(s *server) bool {
-	l, ok := v.leaves[s.Name]
-	return ok && l.startedMs == s.StartedMs
+	_, ok := v.leaves[startID{s.Name, s.StartedMs}]
+	return ok
 }
 
-// dropOldLeaves forgets the notices of servers that are not listed any more, once no
-// late report of them is to be expected.
+// dropOldLeaves forgets the notices of starts of servers that are not listed any
+// more, once no late report of them is to be expected.
 func (v *Picker) dropOldLeaves(now time.Duration) {
-	for id, l := range v.leaves {
-		if s := v.servers[id]; (s == nil || !s.listed) && now >= l.heardAt+lateReportTime {
-			delete(v.leaves, id)
+	for start, l := range v.leaves {
+		s := v.servers[start.server]
+		listed := s != nil && s.listed && s.StartedMs == start.startedMs
+		if !listed && now >= l.heardAt+lateReportTime {
+			delete(v.leaves, start)
 		}
 	}
 }
--- a/core/picker/leave_test.go
+++ b/core/picker/leave_test.go
@@ -80,3 +80,21 @@
 	require.Empty(t, other.view.TakeUntoldLeaves())
 	require.Equal(t, []picker.LeaveNotice{{Server: "i-1", StartedMs: 1000, Source: "d"}}, other.leaves)
 }
+
+// Guards against overlooking the notice of a server whose clock was set back before it
+// started again under its id: its start seems to be earlier than that of the notice
+// that is known.
+func TestNoticeCountsAfterTheClockWasSetBack(t *testing.T) {
+	env := newTestEnv("h1", "a")
+	env.view.Update(instance(1, "a"))
+	env.view.RecordLeave(instance(1, "a"), leaving)
+	env.view.Remove("i-1", 0)
+	again := instance(1, "a")
+	again.StartedMs = 500
+	env.view.Update(again)
+	require.Positive(t, env.countAccepted(5*time.Second))
+	env.view.RecordLeave(again, leaving)
+	require.Zero(t, env.countAccepted(100*time.Millisecond))
+	env.view.RecordLeave(instance(1, "a"), leaving)
+	require.Zero(t, env.countAccepted(100*time.Millisecond), "a late answer of the earlier start")
+}
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -70,7 +70,7 @@
 	mu              sync.Mutex
 	servers         map[core.ServerID]*server
 	removed         map[core.ServerID]lastReport // servers whose entries were removed
-	leaves          map[core.ServerID]leave      // servers that have said that they leave
+	leaves          map[startID]leave            // servers that have said that they leave
 	services        map[core.ServiceID][]*server // listed and ready servers
 	servicesStale   bool                         // entries changed since services and the weights were computed
 	evacuated       map[core.DomainID]bool
@@ -118,7 +118,7 @@
 		cfg:             cfg,
 		servers:         make(map[core.ServerID]*server),
 		removed:         make(map[core.ServerID]lastReport),
-		leaves:          make(map[core.ServerID]leave),
+		leaves:          make(map[startID]leave),
 		services:        make(map[core.ServiceID][]*server),
 		evacuated:       make(map[core.DomainID]bool),
 		processingTimes: make(map[core.ServiceID]time.Duration),
