proxy, edge: refuse only orders during a planned stop

Requests that their callers can repeat are now served until the last answers are sent, as before; orders keep the condition, which TestStopCutsNoOrderThatItHasPassedOn checks.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -65,8 +65,9 @@
 	recorder *recorder
 	bootTime uint64 // Unix milliseconds; tells restarts apart
 	leaving  atomic.Bool
-	// stopTimes is set once the host stops.
-	stopTimes atomic.Pointer[proxy.Stop]
+	// answersUntil is when the last answers are sent, once the host stops; in
+	// nanoseconds of timer.
+	answersUntil atomic.Int64
 
 	// catchUpWake wakes runCatchUp of a table.
 	catchUpWake map[core.FeedTable]chan struct{}
@@ -94,7 +95,7 @@
 	h.pacer = h.newPacer()
 	h.proxy = proxy.New(proxy.Config{
 		Timer: t, Backends: pool, Picker: view, Limiter: l, Budget: b, CurrentTable: w.table.Load, BorrowTokens: h.borrow,
-		Permit: h.pacer.Permit, Stop: h.stopTimes.Load,
+		Permit: h.pacer.Permit, AnswersUntil: func() time.Duration { return time.Duration(h.answersUntil.Load()) },
 	})
 	c.permit = h.pacer.Permit
 	return h
@@ -253,12 +254,11 @@
 	from := h.timer.Now()
 	log.WithField("connections", h.front.NumConns()).Info("edge: shutdown begins")
 	h.leaving.Store(true)
-	accept := min(acceptAfterStop, h.cfg.Place.Bounds.ShutdownGrace/2)
 	until := from + h.cfg.Place.Bounds.ShutdownGrace - stopMargin
-	h.stopTimes.Store(&proxy.Stop{StartsUntil: from + accept + front.CloseDelay, AnswersUntil: until - answerMargin})
+	h.answersUntil.Store(int64(max(until-answerMargin, 1))) // 0 means that the host does not stop
 	h.front.CloseAfterResponse()
 	h.sendHeartbeats()
-	<-h.timer.After(accept)
+	<-h.timer.After(min(acceptAfterStop, h.cfg.Place.Bounds.ShutdownGrace/2))
 	h.front.Close()
 	for h.front.NumConns() > 0 && h.timer.Now() < until {
 		<-h.timer.After(stopPollInterval)
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -57,19 +57,9 @@
 	BorrowTokens func(context.Context, core.WorkspaceID) bool
 	// Permit decides whether a request may be sent to a server that names a limit.
 	Permit func(context.Context, core.Instance) core.Permit
-	// Stop returns when the host ends, or nil while it does not stop. A nil Stop means
-	// that the host never does.
-	Stop func() *Stop
-}
-
-// Stop says how long a host that stops still takes requests.
-type Stop struct {
-	// StartsUntil is the end of the time in which requests are sent to servers that
-	// may be cut at the end of the host. Their callers can repeat them.
-	StartsUntil time.Duration
-	// AnswersUntil is when the last answers are sent. Requests whose deadlines are
-	// earlier are served as ever.
-	AnswersUntil time.Duration
+	// AnswersUntil returns when this host, which stops, sends its last answers, or 0
+	// while it does not stop. Nil means that it never does.
+	AnswersUntil func() time.Duration
 }
 
 // AccessRecord describes how a request was handled, for logs and metrics.
@@ -252,15 +242,16 @@
 // Unwrap returns the coded error.
 func (s *stopError) Unwrap() error { return s.error }
 
-// checkStop returns an error if the host stops and may end before the request is
-// answered. An order that is cut then can neither be repeated nor told to have
-// failed, so that none is sent.
+// checkStop returns an error if the host stops and may end before it can answer the
+// order. An order that is cut then can neither be repeated nor told to have failed,
+// so that none is sent. Callers can repeat other requests; these are sent as long as
+// there are answers.
 func (r *request) checkStop() error {
-	if r.cfg.Stop == nil {
+	if r.cfg.AnswersUntil == nil {
 		return nil
 	}
-	stop := r.cfg.Stop()
-	if stop == nil || r.deadline <= stop.AnswersUntil || r.rule.Kind != core.RouteOrder && r.cfg.Timer.Now() < stop.StartsUntil {
+	until := r.cfg.AnswersUntil()
+	if until == 0 || r.deadline <= until || r.rule.Kind != core.RouteOrder && r.cfg.Timer.Now() < until {
 		return nil
 	}
 	return &stopError{codes.New(codes.NoCapacity, "proxy: host stops, and may end before the request is answered; use another host")}
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -64,7 +64,7 @@
 	permit   func(core.Instance) core.Permit
 	backends *fakeBackends
 	table    *routes.Table
-	stop     *proxy.Stop
+	stop     time.Duration // end of the answers of a host that stops
 	proxy    *proxy.Proxy
 }
 
@@ -117,7 +117,7 @@
 			env.permits = append(env.permits, i.Name)
 			return env.permit(i)
 		},
-		Stop: func() *proxy.Stop { return env.stop },
+		AnswersUntil: func() time.Duration { return env.stop },
 	})
 	return env
 }
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -416,7 +416,7 @@
 }
 
 // closeIdle closes the connection if no request is in flight and none arrives within
-// CloseDelay. Otherwise the connection reads no further request.
+// closeDelay. Otherwise the connection reads no further request.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -424,7 +424,7 @@
 		c.closing = true
 		return
 	}
-	c.idleUntil = time.Now().Add(CloseDelay)
+	c.idleUntil = time.Now().Add(closeDelay)
 	_ = c.SetReadDeadline(c.idleUntil)
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -57,10 +57,10 @@
 	// acceptRetryDelay is the pause after a failed accept, for example when the
 	// process has run out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
-	// CloseDelay is how long a Server that closes still accepts connections and
+	// closeDelay is how long a server that closes still accepts connections and
 	// reads from idle ones: about two round trips between regions, as requests may
 	// be on their way.
-	CloseDelay = 100 * time.Millisecond
+	closeDelay = 100 * time.Millisecond
 )
 
 // Serve accepts connections and returns when the listener is closed.
@@ -99,7 +99,7 @@
 // connections are still accepted.
 func (s *Server) CloseAfterResponse() { s.shuttingDown.Store(true) }
 
-// Close calls CloseAfterResponse and, after CloseDelay, closes the listener and all
+// Close calls CloseAfterResponse and, after closeDelay, closes the listener and all
 // connections that are still idle. Other connections close after their requests in
 // flight. It waits for the listener, but not for connections.
 func (s *Server) Close() {
@@ -115,7 +115,7 @@
 		return
 	}
 	// Closing the listener at once would reset connections that wait to be accepted.
-	if l, ok := listener.(interface{ SetDeadline(time.Time) error }); !ok || l.SetDeadline(time.Now().Add(CloseDelay)) != nil {
+	if l, ok := listener.(interface{ SetDeadline(time.Time) error }); !ok || l.SetDeadline(time.Now().Add(closeDelay)) != nil {
 		_ = listener.Close()
 	}
 	<-served
