review: let the runs without trouble check something too

Without the SIGTERM or the change of the config, the scripts of cases 6 and 9 passed whatever happened. Now each cut or failed request counts.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -53,9 +54,24 @@
 		time.Sleep(time.Second)
 	}
 	group.Wait()
+	if !trouble {
+		return cutRequests(w.record), nil
+	}
 	return cutByStops(w.record, signals), nil
 }
 
+// cutRequests returns the requests that were passed on and whose connection ended without
+// a whole answer.
+func cutRequests(r *record) []string {
+	var broken []string
+	for _, e := range r.all() {
+		if len(e.runs) > 0 && !e.broken && !e.whole && e.end != "" {
+			broken = append(broken, fmt.Sprintf("LOST: request %s was run by %v; the connection ended with %q", e.id, e.runs, e.end))
+		}
+	}
+	return broken
+}
+
 // pipeline uses one connection until it closes: at random times it sends groups of three
 // requests, one right after the other.
 func pipeline(w *world, d *directory, domain, name, path string, size int, linkBytes float64, period time.Duration, end time.Time) {
@@ -254,10 +270,15 @@
 	if err := ask(before); err != nil {
 		return nil, err
 	}
+	var broken []string
 	if !trouble {
-		return nil, nil
+		for _, e := range w.record.all() {
+			if !e.whole || e.status != http.StatusOK || e.note != "" {
+				broken = append(broken, fmt.Sprintf("request %s: status %d, whole %t, %s", e.id, e.status, e.whole, e.note))
+			}
+		}
+		return broken, nil
 	}
-	var broken []string
 	for _, e := range w.record.all() {
 		if !e.sent.After(confirmed.Add(configApply)) {
 			continue
