--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -146,13 +146,12 @@
 		largeBytes = 1536 << 10
 		smallBytes = 1500
 		linkBytes  = 20e6
-		playTime   = 16 * time.Second
-		garbleAt   = 4 * time.Second
-		garbleFor  = 5500 * time.Millisecond
-		breakOff   = 0.05
+		playTime   = 18 * time.Second
+		garbleFor  = 5 * time.Second
+		breakNth   = 50 // 0.02 of the answers
 	)
 	w.publish(1, route{prefix: "/drawings/", kind: "download", parts: []part{{"archive", 1}}}, route{prefix: "/queue/", kind: "idempotent", parts: []part{{"desk", 1}}})
-	if err := w.servers(6, kind{service: "archive", work: 100 * time.Millisecond, bodyBytes: largeBytes, breakOff: breakOff}); err != nil {
+	if err := w.servers(6, kind{service: "archive", work: 100 * time.Millisecond, bodyBytes: largeBytes, breakNth: breakNth}); err != nil {
 		return nil, err
 	}
 	if err := w.servers(6, kind{service: "desk", work: 50 * time.Millisecond, bodyBytes: smallBytes}); err != nil {
@@ -163,14 +162,16 @@
 	}
 	end := time.Now().Add(playTime)
 	if trouble {
-		time.AfterFunc(garbleAt, func() {
-			w.garbling.Store(true)
-			w.record.logf("half of the servers of archive break off a part of their answers")
-		})
-		time.AfterFunc(garbleAt+garbleFor, func() {
-			w.garbling.Store(false)
-			w.record.logf("all servers are sound again")
-		})
+		for _, at := range []time.Duration{3 * time.Second, 11 * time.Second} {
+			time.AfterFunc(at, func() {
+				w.garbling.Store(true)
+				w.record.logf("half of the servers of archive break off each %dth answer", breakNth)
+			})
+			time.AfterFunc(at+garbleFor, func() {
+				w.garbling.Store(false)
+				w.record.logf("all servers are sound")
+			})
+		}
 	}
 	sizes := map[string]int{"/drawings/a": largeBytes, "/queue/a": smallBytes}
 	var group sync.WaitGroup
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -31,8 +31,8 @@
 func main() { os.Exit(play()) }
 
 func play() int {
-	if len(os.Args) != 2 || scripts[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig2 CASE")
+	if len(os.Args) != 3 || scripts[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig2 CASE TROUBLE; a TROUBLE of 0 leaves the disruption out")
 		return exitFailed
 	}
 	number := os.Args[1]
@@ -49,7 +49,7 @@
 		w.close()
 		os.Exit(exitFailed)
 	}()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[2] != "0"
 	broken, err := scripts[number](w, trouble)
 	w.close()
 	for _, b := range broken {
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,7 +16,7 @@
 	service   string
 	work      time.Duration
 	bodyBytes int
-	breakOff  float64 // fraction of their answers that every second one breaks off in the middle during the garble
+	breakNth  int64 // every second server breaks off each nth answer that it gives during the garble; 0 for none
 }
 
 // server is a backend server. It follows the protocol: it echoes Request-Id, signs its
@@ -25,7 +25,8 @@
 type server struct {
 	kind
 	id, domain string
-	garbles    bool // breaks off answers during the garble
+	garbles    bool         // breaks off answers during the garble
+	garbled    atomic.Int64 // answers given during the garble
 	world      *world
 	slots      chan struct{}
 
@@ -97,7 +98,7 @@
 	body := bodyOf(id, s.bodyBytes)
 	w.Header().Set("Server-Stamp", s.id+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if s.garbles && s.world.garbling.Load() && rand.Float64() < s.breakOff {
+	if s.garbles && s.breakNth > 0 && s.world.garbling.Load() && s.garbled.Add(1)%s.breakNth == 0 {
 		s.world.record.brokeOff(id)
 		_, _ = w.Write(body[:len(body)*9/10])
 		panic(http.ErrAbortHandler)
