front, linger, metric: report how connections of callers end

Change: a connection that ends is counted by reason and by what the kernel held of it (unread input, unacknowledged output), and logged if that was anything. No behaviour changes.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -121,7 +121,8 @@
 		return err
 	}
 	h.front = front.New(front.Config{
-		Timer: h.timer, Dialect: h.cfg.Dialect, Handle: h.serve, Limits: h.state.limits, Space: h.bodies, Log: h.cfg.Log,
+		Timer: h.timer, Dialect: h.cfg.Dialect, Handle: h.serve, Limits: h.state.limits, Space: h.bodies,
+		OnEnd: h.recorder.logEnd, Log: h.cfg.Log,
 	})
 	if err := h.registerGauges(); err != nil {
 		return err
--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -13,6 +13,7 @@
 	"azurering/core/picker"
 	"azurering/core/proxy"
 	"azurering/io/conns"
+	"azurering/io/front"
 	"azurering/io/metric"
 )
 
@@ -121,6 +122,27 @@
 		Info("edge: server says that it leaves; it gets no new requests")
 }
 
+// logEnd counts the end of a caller's connection, and logs it if the kernel still held
+// bytes, since the caller may not receive them.
+func (r *recorder) logEnd(e front.End) {
+	pending := "none"
+	switch {
+	case e.PendingErr != nil:
+		pending = "unknown"
+	case e.Pending.Unacked > 0:
+		pending = "unacked"
+	case e.Pending.Unread > 0:
+		pending = "unread"
+	}
+	r.metrics.CountConnectionEnd(string(e.Reason), pending)
+	if pending == "none" || pending == "unknown" {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"event": "end", "caller": e.Address, "reason": e.Reason, "unread": e.Pending.Unread, "unacked": e.Pending.Unacked, "age": e.Age.Milliseconds(),
+	}).Info("edge: connection of a caller closed with bytes pending")
+}
+
 // checker runs the health checks that the view requests. view and permit are set
 // before the first one.
 type checker struct {
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -42,7 +42,10 @@
 	defaultHeaderBytes   = 16 << 10
 )
 
-var errHeaderTooLarge = errors.New("front: request header is over the size limit")
+var (
+	errHeaderTooLarge = errors.New("front: request header is over the size limit")
+	errTruncated      = errors.New("front: response of the server is truncated")
+)
 
 // conn is a connection of a caller. One goroutine reads requests, one writes
 // responses in order, and one per request serves it.
@@ -62,6 +65,10 @@
 	inFlight  int       // requests that were begun and whose response is not written yet
 	closing   bool      // no further request is read
 	idleUntil time.Time // end of the idle time, whatever the idle timeout; zero for none
+	endReason EndReason
+	reported  bool // to OnEnd
+
+	opened time.Time
 }
 
 // exchange is a request and its position in the order of responses.
@@ -94,7 +101,7 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{Conn: raw, server: s, header: &headerReader{Reader: raw}, exchanges: make(chan *exchange, maxPipelined)}
+	c := &conn{Conn: raw, server: s, header: &headerReader{Reader: raw}, exchanges: make(chan *exchange, maxPipelined), opened: time.Now()}
 	c.reader = bufio.NewReaderSize(c.header, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -127,6 +134,7 @@
 	if c.streamsBody {
 		c.drain()
 	}
+	c.reportEnd()
 	_ = c.Close()
 	c.server.remove(c)
 }
@@ -191,6 +199,7 @@
 	c.header.remaining = -1
 	_, err := io.Copy(io.Discard, c.reader)
 	if c.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+		c.setEnd(EndCaller)
 		c.cancel()
 	}
 }
@@ -247,12 +256,26 @@
 			continue
 		}
 		if err != nil {
+			c.setEnd(c.awaitEndReason(timeout != nil && timeout.Timeout()))
 			c.cancel()
 		}
 		return err
 	}
 }
 
+// awaitEndReason returns why the wait for a request ended.
+func (c *conn) awaitEndReason(timedOut bool) EndReason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !timedOut:
+		return EndCaller
+	case c.idleUntil.IsZero():
+		return EndIdle
+	}
+	return EndStopped
+}
+
 // setIdleDeadline sets the time by which the next request must begin. It returns
 // false if reading must stop: a closing connection takes no more requests, but
 // is read while one is in flight, to detect a disconnect.
@@ -334,9 +357,11 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	}
 	if status == 0 {
+		c.setEnd(EndCaller)
 		c.cancel()
 		return
 	}
+	c.setEnd(EndRejected)
 	c.server.cfg.Log.WithField("code", int(code)).WithError(err).Info("front: request could not be read; rejecting it and closing the connection")
 	x := &exchange{reply: make(chan *core.Reply, 1), closeAfter: true}
 	x.reply <- proxy.ErrorReply(status, code, err)
@@ -359,6 +384,11 @@
 		if err := c.writeResponse(x, reply, closeAfter); err != nil {
 			// Closing the connection shows the caller that the response is
 			// truncated.
+			if errors.Is(err, errTruncated) {
+				c.setEnd(EndBroken)
+			}
+			c.setEnd(EndUnwritten)
+			c.reportEnd()
 			c.cancel()
 			_ = c.Close()
 			continue
@@ -385,6 +415,7 @@
 // closeWrite closes the sending side after the last response. Requests pipelined
 // behind it get no response.
 func (c *conn) closeWrite() {
+	c.setEnd(EndAnswered)
 	c.cancel()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		// Closing a socket with unread bytes resets the connection, and the
@@ -515,7 +546,7 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "front: response of the server is truncated")
+			return errors.WithMessage(errTruncated, err.Error())
 		}
 	}
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -20,7 +20,7 @@
 	"azurering/core/space"
 )
 
-// Config configures a Server. All fields are required.
+// Config configures a Server. All fields but OnEnd are required.
 type Config struct {
 	Timer   core.Timer
 	Dialect core.HeaderCodec
@@ -32,6 +32,8 @@
 	Limits func() core.Limits
 	// Space holds the bodies of requests. Nil means without a bound.
 	Space *space.Pool
+	// OnEnd, if set, is called when a connection ends. It must not block.
+	OnEnd func(End)
 	Log   logrus.FieldLogger
 }
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -35,6 +35,7 @@
 	limits  core.Limits
 	mu      sync.Mutex
 	bodies  []string
+	ends    chan front.End
 }
 
 func newTestServer(t *testing.T, limits core.Limits, serve func(ctx context.Context, c *core.Call) *core.Reply) *testServer {
@@ -43,9 +44,10 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	ts := &testServer{address: l.Addr().String(), limits: limits}
+	ts := &testServer{address: l.Addr().String(), limits: limits, ends: make(chan front.End, 1<<10)}
 	ts.server = front.New(front.Config{
 		Timer: timer.NewReal(), Dialect: dialect{}, Limits: func() core.Limits { return limits }, Log: log,
+		OnEnd: func(e front.End) { ts.ends <- e },
 		Handle: func(ctx context.Context, c *core.Call) *core.Reply {
 			ts.mu.Lock()
 			ts.bodies = append(ts.bodies, string(c.Body))
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -42,6 +42,7 @@
 	entries  metric.Int64Counter
 	late     metric.Int64Counter
 	leaves   metric.Int64Counter
+	ends     metric.Int64Counter
 }
 
 // New returns metrics with a new Prometheus registry.
@@ -79,6 +80,7 @@
 		{&m.loans, "azurering_loans", "Requests to other hosts for a part of a workspace's rate, by result."},
 		{&m.late, "azurering_catchup_late", "Changes of the store's tables that reached this host later than a quarter of a second after it had heard of them, by table."},
 		{&m.leaves, "azurering_leave_notices", "Backend servers that have said in an answer, to this host or to another one, that they leave."},
+		{&m.ends, "azurering_caller_connections_ended", "Connections of callers that ended, by reason and by what the kernel still held of them."},
 		{&m.entries, "azurering_invalid_entries", "Entries of the store's tables that cannot be used, by table."},
 	}
 	for _, c := range counters {
@@ -107,6 +109,12 @@
 // CountLookup counts a successful lookup.
 func (m *Metrics) CountLookup() { m.lookups.Add(context.Background(), 1) }
 
+// CountConnectionEnd counts the end of a caller's connection. pending says what the
+// kernel still held of it: none, unread, unacked or unknown.
+func (m *Metrics) CountConnectionEnd(reason, pending string) {
+	m.ends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.String("pending", pending)))
+}
+
 // CountLapsedUse counts a request that was sent to a server whose entry had
 // lapsed.
 func (m *Metrics) CountLapsedUse() { m.lapsed.Add(context.Background(), 1) }
