front, linger: deliver the last answers before a connection is closed

Cause: a response counts as written once the kernel has it. Whatever the caller then sent, as it could not know of the close, met a closed socket, and the reset dropped the rest. The same happened without any stop: after a rejected request, an unread body, an answer that broke off, "Connection: close" of the caller, and an idle close, which counted the time from the write, too.

Change: conn.end is the one place that closes a socket. Once the last response is written it closes the sending side and drops input until the caller closes its side. A connection is idle only when its answers are delivered, also when the server closes. A request behind a close that a response announces is dropped while the connection still watches for a disconnect; before, that watch ended.

Why it works: a reset needs input that nobody reads. As long as something is undelivered, somebody reads.

TestEndsAreReported now demands that nothing is pending; before, "rejected" and "broken" closed with bytes pending.

--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -139,7 +139,8 @@
 		return
 	}
 	r.log.WithFields(logrus.Fields{
-		"event": "end", "caller": e.Address, "reason": e.Reason, "unread": e.Pending.Unread, "unacked": e.Pending.Unacked, "age": e.Age.Milliseconds(),
+		"event": "end", "caller": e.Address, "reason": e.Reason, "unread": e.Pending.Unread, "unacked": e.Pending.Unacked,
+		"lingered": e.Lingered.Milliseconds(), "age": e.Age.Milliseconds(),
 	}).Info("edge: connection of a caller closed with bytes pending")
 }
 
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -19,6 +19,7 @@
 	"azurering/core"
 	"azurering/core/codes"
 	"azurering/core/proxy"
+	"azurering/io/linger"
 )
 
 const (
@@ -61,14 +62,18 @@
 	cancel      context.CancelFunc
 	exchanges   chan *exchange
 
-	mu        sync.Mutex
-	inFlight  int       // requests that were begun and whose response is not written yet
-	closing   bool      // no further request is read
-	idleUntil time.Time // end of the idle time, whatever the idle timeout; zero for none
-	endReason EndReason
-	reported  bool // to OnEnd
-
-	opened time.Time
+	mu       sync.Mutex
+	inFlight int  // requests that were begun and whose response is not written yet
+	closing  bool // the last response announces the close; no further request is read
+	// closesIdle is set once the server closes: the idle timeout is closeDelay then.
+	closesIdle bool
+	endReason  EndReason
+	// writeEnded is set once nothing more is written, and halfClosed if the sending side
+	// was closed then.
+	writeEnded, halfClosed bool
+
+	opened   time.Time
+	delivery linger.Progress // used by the goroutine that reads
 }
 
 // exchange is a request and its position in the order of responses.
@@ -131,11 +136,7 @@
 	close(c.exchanges)
 	<-writerDone
 	c.cancel()
-	if c.streamsBody {
-		c.drain()
-	}
-	c.reportEnd()
-	_ = c.Close()
+	c.end()
 	c.server.remove(c)
 }
 
@@ -143,12 +144,18 @@
 // or the connection closes.
 func (c *conn) readLoop() {
 	for {
-		x, err := c.readRequest()
-		if err != nil {
-			c.reject(err)
+		limits := c.limits()
+		c.header.remaining = limits.MaxHeaderBytes + readBufferSize
+		if !c.awaitRequest(limits) {
 			return
 		}
-		if x == nil {
+		if !c.beginRequest() {
+			c.watchForDisconnect()
+			return
+		}
+		x, err := c.readRequest(limits)
+		if err != nil {
+			c.reject(err)
 			return
 		}
 		c.streamsBody = x.call.BodyRest != nil
@@ -185,41 +192,36 @@
 }
 
 // watchForDisconnect cancels the connection's requests if the caller disconnects
-// during the last one. A streamed request body is read by the request itself,
-// so it does nothing then.
+// before the last response is written. A streamed request body is read by the request
+// itself, so it does nothing then.
 func (c *conn) watchForDisconnect() {
 	if c.streamsBody {
 		return
 	}
-	c.mu.Lock()
-	if !c.closing || c.inFlight > 0 { // otherwise closeWrite sets the deadline
-		_ = c.SetReadDeadline(time.Time{})
-	}
-	c.mu.Unlock()
+	c.setReadDeadline(time.Time{})
 	c.header.remaining = -1
-	_, err := io.Copy(io.Discard, c.reader)
-	if c.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+	_, _ = io.Copy(io.Discard, c.reader) // whatever it ends with, nothing more is read
+	if !c.hasWriteEnded() {
 		c.setEnd(EndCaller)
 		c.cancel()
 	}
 }
 
-// readRequest reads the next request. It returns nil without an error if the
-// connection is to be closed without a response.
-func (c *conn) readRequest() (*exchange, error) {
-	limits := c.limits()
-	c.header.remaining = limits.MaxHeaderBytes + readBufferSize
-	if err := c.awaitRequest(limits); err != nil {
-		return nil, nil //nolint:nilerr // the caller disconnected or was idle for too long
-	}
+// beginRequest counts a request whose first byte has arrived. It returns false if no
+// further request is read.
+func (c *conn) beginRequest() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.closing {
-		c.mu.Unlock()
-		return nil, nil
+		return false
 	}
 	c.inFlight++
-	c.mu.Unlock()
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	return true
+}
+
+// readRequest reads a request whose first byte has arrived.
+func (c *conn) readRequest(limits core.Limits) (*exchange, error) {
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req, err := http.ReadRequest(c.reader)
 	if err != nil {
 		return nil, classifyReadError(err)
@@ -243,37 +245,25 @@
 	return &exchange{call: call, reply: make(chan *core.Reply, 1), closeAfter: closeAfter}, nil
 }
 
-// awaitRequest waits for the first byte of a request. The idle timeout does not
-// apply while requests are in flight.
-func (c *conn) awaitRequest(limits core.Limits) error {
-	for {
-		if !c.setIdleDeadline(limits.IdleTimeout) {
-			return net.ErrClosed
-		}
+// awaitRequest waits for the first byte of a request, and returns false if none comes.
+// The idle timeout does not apply while requests are in flight or their responses are
+// being delivered.
+func (c *conn) awaitRequest(limits core.Limits) bool {
+	for c.setIdleDeadline(limits.IdleTimeout) {
 		_, err := c.reader.Peek(1)
+		if err == nil {
+			return true
+		}
 		var timeout net.Error
-		if err != nil && errors.As(err, &timeout) && timeout.Timeout() && c.hasInFlight() {
+		timedOut := errors.As(err, &timeout) && timeout.Timeout()
+		if timedOut && (c.hasInFlight() || c.server.cfg.Closer.Delivering(c.Conn, &c.delivery)) {
 			continue
 		}
-		if err != nil {
-			c.setEnd(c.awaitEndReason(timeout != nil && timeout.Timeout()))
-			c.cancel()
-		}
-		return err
-	}
-}
-
-// awaitEndReason returns why the wait for a request ended.
-func (c *conn) awaitEndReason(timedOut bool) EndReason {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case !timedOut:
-		return EndCaller
-	case c.idleUntil.IsZero():
-		return EndIdle
+		c.setEnd(c.idleEndReason(timedOut))
+		c.cancel()
+		return false
 	}
-	return EndStopped
+	return false
 }
 
 // setIdleDeadline sets the time by which the next request must begin. It returns
@@ -282,17 +272,23 @@
 func (c *conn) setIdleDeadline(idle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing && c.inFlight == 0 {
+	if c.writeEnded || c.closing && c.inFlight == 0 {
 		return false
 	}
-	until := time.Now().Add(idle)
-	if !c.idleUntil.IsZero() {
-		until = c.idleUntil
+	if c.closesIdle {
+		idle = closeDelay
 	}
-	_ = c.SetReadDeadline(until) // an error shows up in the read
+	c.extendIdle(idle)
 	return true
 }
 
+// extendIdle lets the wait for a request last for the given time from now. c.mu is held.
+func (c *conn) extendIdle(d time.Duration) {
+	if !c.writeEnded {
+		_ = c.SetReadDeadline(time.Now().Add(d)) // an error shows up in the read
+	}
+}
+
 func (c *conn) hasInFlight() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -311,7 +307,7 @@
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
 		c.exchanges <- &exchange{interim: true} // after the responses to earlier requests
 	}
-	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
 	b, err := c.server.cfg.Space.Read(req.Body, maxBufferedBody, req.ContentLength)
 	if err != nil {
 		return classifyReadError(err)
@@ -351,6 +347,9 @@
 // reject responds to a request that could not be read and ends the connection. It
 // sends nothing if the caller disconnected.
 func (c *conn) reject(err error) {
+	if c.hasWriteEnded() {
+		return // nothing more is written, and the read was ended because of that
+	}
 	code := codes.Of(err)
 	status := rejectStatus[code]
 	if errors.Is(err, errHeaderTooLarge) {
@@ -381,24 +380,24 @@
 			continue
 		}
 		closeAfter := x.closeAfter || c.closesAfterResponse()
-		if err := c.writeResponse(x, reply, closeAfter); err != nil {
-			// Closing the connection shows the caller that the response is
-			// truncated.
-			if errors.Is(err, errTruncated) {
-				c.setEnd(EndBroken)
-			}
-			c.setEnd(EndUnwritten)
-			c.reportEnd()
-			c.cancel()
-			_ = c.Close()
+		err := c.writeResponse(x, reply, closeAfter)
+		switch {
+		case errors.Is(err, errTruncated):
+			c.endWrite(EndBroken) // the end of the connection shows the caller that the response is truncated
+			continue
+		case err != nil:
+			c.endWrite(EndUnwritten)
 			continue
 		}
 		c.mu.Lock()
 		c.inFlight--
 		c.closing = c.closing || closeAfter
+		if c.closesIdle && c.inFlight == 0 {
+			c.extendIdle(closeDelay) // the goroutine that reads waits with the idle timeout of before
+		}
 		c.mu.Unlock()
 		if closeAfter {
-			c.closeWrite()
+			c.endWrite(EndAnswered)
 		}
 	}
 }
@@ -412,53 +411,6 @@
 	return c.closing && c.inFlight == 1
 }
 
-// closeWrite closes the sending side after the last response. Requests pipelined
-// behind it get no response.
-func (c *conn) closeWrite() {
-	c.setEnd(EndAnswered)
-	c.cancel()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		// Closing a socket with unread bytes resets the connection, and the
-		// caller could lose the response.
-		_ = tcp.CloseWrite()
-	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-}
-
-const (
-	// lingerTimeout is how long a caller has to close the connection, or to send more,
-	// after the last response: a few round trips.
-	lingerTimeout = 300 * time.Millisecond
-	// maxLinger bounds the time for a caller that goes on sending.
-	maxLinger = 5 * time.Second
-)
-
-// drain drops what the caller still sends after the last response, for example the
-// rest of a body that its server rejected. Otherwise closing the connection would reset
-// it, and the caller could lose the response.
-func (c *conn) drain() {
-	buffer := make([]byte, readBufferSize)
-	for until := time.Now().Add(maxLinger); time.Now().Before(until); {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) // an error shows up in the read
-		if _, err := c.Conn.Read(buffer); err != nil {
-			return
-		}
-	}
-}
-
-// closeIdle closes the connection if no request is in flight and none arrives within
-// closeDelay. Otherwise the connection reads no further request.
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inFlight > 0 {
-		c.closing = true
-		return
-	}
-	c.idleUntil = time.Now().Add(closeDelay)
-	_ = c.SetReadDeadline(c.idleUntil)
-}
-
 // writeResponse writes a response and closes it. After an error the response
 // is incomplete, and the caller can tell by its length or chunks.
 func (c *conn) writeResponse(x *exchange, r *core.Reply, closeAfter bool) error {
--- a/io/front/end.go
+++ b/io/front/end.go
@@ -29,6 +29,7 @@
 	Pending    linger.Pending
 	PendingErr error
 	Age        time.Duration
+	Lingered   time.Duration // from the end of the last response to the close
 }
 
 // setEnd records why the connection ends. The first reason counts.
@@ -40,20 +41,71 @@
 	}
 }
 
-// reportEnd calls OnEnd, once. It is called before the socket is closed.
-func (c *conn) reportEnd() {
-	if c.server.cfg.OnEnd == nil {
-		return
+// idleEndReason returns why the wait for a request ended.
+func (c *conn) idleEndReason(timedOut bool) EndReason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !timedOut:
+		return EndCaller
+	case c.closesIdle:
+		return EndStopped
+	}
+	return EndIdle
+}
+
+// closeIdle closes the connection once no request is in flight and none arrives within
+// closeDelay.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closesIdle = true
+	if c.inFlight == 0 {
+		c.extendIdle(closeDelay)
+	}
+}
+
+// endWrite is called after the last write, and makes the goroutine that reads stop, so
+// that the connection ends. Requests pipelined behind the last response get none.
+func (c *conn) endWrite(r EndReason) {
+	c.setEnd(r)
+	c.cancel()
+	halfClosed := false
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && r != EndUnwritten {
+		halfClosed = w.CloseWrite() == nil
 	}
 	c.mu.Lock()
-	if c.reported {
-		c.mu.Unlock()
-		return
+	defer c.mu.Unlock()
+	c.writeEnded, c.halfClosed = true, halfClosed
+	_ = c.SetReadDeadline(time.Unix(0, 0))
+}
+
+func (c *conn) hasWriteEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeEnded
+}
+
+// setReadDeadline sets the read deadline, unless reading must end.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeEnded {
+		_ = c.SetReadDeadline(t) // an error shows up in the read
+	}
+}
+
+// end closes the connection, once nothing is read or written any more. The caller may
+// not have received all responses yet, and may go on sending until it has.
+func (c *conn) end() {
+	start := time.Now()
+	if c.halfClosed {
+		c.server.cfg.Closer.Drain(c.Conn)
+	}
+	if report := c.server.cfg.OnEnd; report != nil {
+		e := End{Address: c.RemoteAddr().String(), Reason: c.endReason, Age: time.Since(c.opened), Lingered: time.Since(start)}
+		e.Pending, e.PendingErr = linger.ReadPending(c.Conn)
+		report(e)
 	}
-	c.reported = true
-	e := End{Address: c.RemoteAddr().String(), Reason: c.endReason, Age: time.Since(c.opened)}
-	c.mu.Unlock()
-	e.Pending, e.PendingErr = linger.ReadPending(c.Conn)
-	e.Pending.Unread += c.reader.Buffered()
-	c.server.cfg.OnEnd(e)
+	_ = c.Close()
 }
--- a/io/front/end_test.go
+++ b/io/front/end_test.go
@@ -51,6 +51,7 @@
 				require.Equal(t, reason, e.Reason)
 				require.Equal(t, c.LocalAddr().String(), e.Address)
 				require.NoError(t, e.PendingErr)
+				require.Zero(t, e.Pending)
 			case <-time.After(waitTimeout):
 				t.Fatal("the end of the connection was not reported")
 			}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -18,9 +18,10 @@
 
 	"azurering/core"
 	"azurering/core/space"
+	"azurering/io/linger"
 )
 
-// Config configures a Server. All fields but OnEnd are required.
+// Config configures a Server. All fields but Closer and OnEnd are required.
 type Config struct {
 	Timer   core.Timer
 	Dialect core.HeaderCodec
@@ -32,6 +33,8 @@
 	Limits func() core.Limits
 	// Space holds the bodies of requests. Nil means without a bound.
 	Space *space.Pool
+	// Closer ends connections. Nil means one with the defaults.
+	Closer *linger.Closer
 	// OnEnd, if set, is called when a connection ends. It must not block.
 	OnEnd func(End)
 	Log   logrus.FieldLogger
@@ -52,6 +55,9 @@
 
 // New returns a server that accepts connections once Run is called.
 func New(cfg Config) *Server {
+	if cfg.Closer == nil {
+		cfg.Closer = linger.New(linger.Config{})
+	}
 	return &Server{cfg: cfg, conns: make(map[*conn]bool)}
 }
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -38,15 +38,19 @@
 	ends    chan front.End
 }
 
+func discardLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 func newTestServer(t *testing.T, limits core.Limits, serve func(ctx context.Context, c *core.Call) *core.Reply) *testServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	ts := &testServer{address: l.Addr().String(), limits: limits, ends: make(chan front.End, 1<<10)}
 	ts.server = front.New(front.Config{
-		Timer: timer.NewReal(), Dialect: dialect{}, Limits: func() core.Limits { return limits }, Log: log,
+		Timer: timer.NewReal(), Dialect: dialect{}, Limits: func() core.Limits { return limits }, Log: discardLog(),
 		OnEnd: func(e front.End) { ts.ends <- e },
 		Handle: func(ctx context.Context, c *core.Call) *core.Reply {
 			ts.mu.Lock()
