edge, entry, linger: deliver answers before other listeners close connections

Cause: the HTTP servers of both programs (readiness checks, look-ups, table copies and metrics of the host on the platform; callers, peers and operators of the entry host) close their connections with net/http, which does not read while it closes. A request that arrives on a kept connection after a shutdown resets it, and the caller loses what was still on the way of the answer before. The edge host also cut these servers at the end of a stop, whatever they were writing.

Change: their listeners return connections whose Close drains them like the connections of callers on the platform.

Evidence: TestListenerDeliversAnswersAtShutdown fails with net/http's own close ("connection reset by peer" instead of 400 KB) and passes with the listener.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	"azurering/io/beacon"
 	"azurering/io/conns"
 	"azurering/io/front"
+	"azurering/io/linger"
 	"azurering/io/metric"
 )
 
@@ -75,6 +77,7 @@
 	oldCopies   map[core.FeedTable]bool // copies that were old at the last heartbeat; used by runHeartbeats
 
 	front       *front.Server
+	closer      *linger.Closer
 	beacon      *beacon.Transport
 	httpServers []*http.Server
 	cancel      context.CancelFunc
@@ -86,7 +89,7 @@
 ) *host {
 	h := &host{
 		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, state: w, view: view,
-		recorder: r, bodies: bodies, bootTime: uint64(time.Now().UnixMilli()), announced: &announcements{upTo: make(map[core.FeedTable]time.Duration)},
+		recorder: r, bodies: bodies, closer: linger.New(linger.Config{}), bootTime: uint64(time.Now().UnixMilli()), announced: &announcements{upTo: make(map[core.FeedTable]time.Duration)},
 		oldCopies: make(map[core.FeedTable]bool),
 		catchUpWake: map[core.FeedTable]chan struct{}{
 			core.FeedOperator: make(chan struct{}, 1), core.FeedServers: make(chan struct{}, 1),
@@ -122,7 +125,7 @@
 	}
 	h.front = front.New(front.Config{
 		Timer: h.timer, Dialect: h.cfg.Dialect, Handle: h.serve, Limits: h.state.limits, Space: h.bodies,
-		OnEnd: h.recorder.logEnd, Log: h.cfg.Log,
+		Closer: h.closer, OnEnd: h.recorder.logEnd, Log: h.cfg.Log,
 	})
 	if err := h.registerGauges(); err != nil {
 		return err
@@ -168,7 +171,7 @@
 		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: startTimeout}
 		h.httpServers = append(h.httpServers, server)
 		go func() {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(h.closer.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 				h.cfg.Log.WithError(err).Error("edge: HTTP server stopped serving")
 			}
 		}()
@@ -266,8 +269,25 @@
 	}
 	log.WithField("cut", h.front.NumConns()).Info("edge: shutdown ends")
 	h.cancel()
+	h.closeHTTP(until + answerMargin)
+	return h.beacon.Close()
+}
+
+// closeHTTP ends the host's own HTTP servers. What is being answered then has until the
+// given time of the host's timer.
+func (h *host) closeHTTP(until time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerMargin)
+	defer cancel()
+	var all sync.WaitGroup
 	for _, s := range h.httpServers {
-		_ = s.Close()
+		all.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close()
+			}
+		})
+	}
+	all.Wait()
+	for h.closer.NumConns() > 0 && h.timer.Now() < until {
+		<-h.timer.After(stopPollInterval)
 	}
-	return h.beacon.Close()
 }
--- a/app/entry/serve.go
+++ b/app/entry/serve.go
@@ -22,6 +22,7 @@
 	"azurering/core/steer"
 	"azurering/io/admin"
 	"azurering/io/caller"
+	"azurering/io/linger"
 	"azurering/io/metric"
 	"azurering/io/peers"
 	"azurering/io/relay"
@@ -34,6 +35,10 @@
 	// closeTimeout bounds the end of the last requests, which are refused. Those that
 	// the host serves have ended before.
 	closeTimeout = time.Second
+	// deliverTimeout is the time for answers of megabytes to reach callers behind slow
+	// links.
+	deliverTimeout      = 4 * time.Second
+	deliverPollInterval = 50 * time.Millisecond
 )
 
 var serveModule = fx.Module("serve",
@@ -186,11 +191,14 @@
 	caller *http.Server
 	peer   *http.Server
 	admin  *http.Server
+	closer *linger.Closer
+	timer  core.Timer
 }
 
 type listenerDeps struct {
 	fx.In
 	Settings setup.Settings
+	Timer    core.Timer
 	Log      logrus.FieldLogger
 	Metrics  *metric.Metrics
 	State    *state
@@ -220,6 +228,8 @@
 		caller: caller.NewServer(context.Background(), d.Stopper.countInFlight(callerHandler), limits.Header, limits.Slow),
 		peer:   &http.Server{Handler: peerHandler, ReadHeaderTimeout: limits.Slow, MaxHeaderBytes: limits.Header},
 		admin:  &http.Server{Handler: adminHandler, ReadHeaderTimeout: limits.Slow, MaxHeaderBytes: limits.Header},
+		closer: linger.New(linger.Config{}),
+		timer:  d.Timer,
 	}
 }
 
@@ -243,11 +253,12 @@
 		OnStart: func(context.Context) error { return l.start(cfg) },
 		OnStop: func(ctx context.Context) error {
 			st.runStop(ctx)
-			wait := closeTimeout
 			if st.killed.Load() {
-				wait = 0
+				l.close(0)
+				return nil
 			}
-			l.close(wait)
+			l.close(closeTimeout)
+			l.awaitDelivery()
 			return nil
 		},
 	})
@@ -269,6 +280,15 @@
 	all.Wait()
 }
 
+// awaitDelivery waits until callers have received the answers that were written, for up
+// to deliverTimeout.
+func (l *listeners) awaitDelivery() {
+	until := l.timer.Now() + deliverTimeout
+	for l.closer.NumConns() > 0 && l.timer.Now() < until {
+		<-l.timer.After(deliverPollInterval)
+	}
+}
+
 func (l *listeners) start(cfg Config) error {
 	s := cfg.Settings
 	for _, spec := range []struct {
@@ -285,6 +305,7 @@
 		if err != nil {
 			return err
 		}
+		lis = l.closer.Listener(lis)
 		if spec.conns > 0 {
 			lis = netutil.LimitListener(lis, spec.conns)
 		}
--- a/io/linger/linger.go
+++ b/io/linger/linger.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,7 +34,8 @@
 // Closer ends TCP connections whose last bytes may still be on the way. It is safe for
 // concurrent use.
 type Closer struct {
-	cfg Config
+	cfg   Config
+	conns atomic.Int64 // of listeners, closed and lingering
 }
 
 // New returns a Closer.
--- a/io/linger/linger_test.go
+++ b/io/linger/linger_test.go
@@ -1,8 +1,11 @@
 package linger_test
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -74,3 +77,68 @@
 		})
 	}
 }
+
+// Guards against an HTTP server that resets a connection when it is shut down, while
+// answers are on the way to a slow caller that sends more.
+func TestListenerDeliversAnswersAtShutdown(t *testing.T) {
+	const size = 400 << 10
+	closer := linger.New(linger.Config{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	handled := make(chan struct{}, 3)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+		handled <- struct{}{}
+	})}
+	go func() { _ = server.Serve(closer.Listener(l)) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	_, err = io.WriteString(c, request)
+	require.NoError(t, err)
+	<-handled
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, server.Shutdown(ctx))
+	_, err = io.WriteString(c, request)
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond) // a reset drops what the kernel holds by now
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, int64(size), n)
+	require.Equal(t, 1, closer.NumConns())
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return closer.NumConns() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// Guards against a Close that leaves a read of another goroutine waiting, or lets it take
+// what the wait for the peer's close must see.
+func TestCloseEndsReads(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closer := linger.New(linger.Config{Quiet: time.Hour, Limit: time.Hour})
+	listener := closer.Listener(l)
+	peer, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	c, err := listener.Accept()
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	}()
+	require.NoError(t, c.Close())
+	require.Error(t, <-ended)
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.ErrorIs(t, c.SetReadDeadline(time.Time{}), net.ErrClosed)
+	require.ErrorIs(t, c.Close(), net.ErrClosed)
+	_, err = peer.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, peer.Close())
+	require.Eventually(t, func() bool { return closer.NumConns() == 0 }, 10*time.Second, time.Millisecond)
+}
