--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -43,6 +43,7 @@
 var (
 	errTooManyStray = errors.New("conns: too many interim responses or responses to other requests")
 	errNotStamped   = errors.New("conns: successful response lacks the stamp of a backend server")
+	errNoResponse   = errors.New("conns: bytes from the server do not open an HTTP/1 response")
 )
 
 // conn is a connection to a server. It carries one request at a time. A goroutine
@@ -213,9 +214,13 @@
 		if err != nil {
 			return nil, meta, hadStray, errors.Wrap(err, "conns: response cannot be parsed")
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInterim(resp) {
 			continue
 		}
+		if resp.ProtoMajor != 1 || !core.IsFinalStatus(resp.StatusCode) {
+			// What follows has no known meaning either.
+			return nil, meta, hadStray, errors.WithMessagef(errNoResponse, "%.40q", resp.Proto+" "+resp.Status)
+		}
 		meta = c.pool.cfg.Dialect.ParseMeta(resp.StatusCode, resp.Header)
 		if meta.ID == x.requestID && x.requestID != "" && !meta.Stamped && resp.StatusCode < http.StatusMultipleChoices {
 			return nil, meta, hadStray, errNotStamped
@@ -231,6 +236,13 @@
 	return nil, meta, hadStray, errTooManyStray
 }
 
+// isInterim reports whether a response comes before the final one. Such a response has no
+// body. After a 101 the connection would not carry HTTP any more.
+func isInterim(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK &&
+		resp.StatusCode != http.StatusSwitchingProtocols && resp.Header.Get("Content-Length") == "" && len(resp.TransferEncoding) == 0
+}
+
 // keepAliveTimeout returns how long the connection may stay idle, from the
 // server's Keep-Alive header.
 func keepAliveTimeout(h http.Header) time.Duration {
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -158,9 +158,12 @@
 	req.Header.Set(HeaderExchange, strconv.FormatUint(c.exchanges.Add(1), 10))
 }
 
-// checkExchange returns an error if a response belongs to another request. Servers may
-// leave the number out.
+// checkExchange returns an error if a response has a status that ends no exchange, or
+// belongs to another request. Servers may leave the number out.
 func checkExchange(req *http.Request, resp *http.Response) error {
+	if !core.IsFinalStatus(resp.StatusCode) {
+		return errors.Errorf("server: %.40q is not the status of a response", resp.Status)
+	}
 	got, sent := resp.Header.Get(HeaderExchange), req.Header.Get(HeaderExchange)
 	resp.Header.Del(HeaderExchange)
 	if got != "" && got != sent {
@@ -266,6 +269,8 @@
 // is not ready. A missing or negative load gives -1 (unknown); a load over 1
 // counts as 1.
 func (c *Client) Probe(ctx context.Context, s core.Server) (core.Health, error) {
+	trace := &sendTrace{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+"://"+s.Address+probePath, http.NoBody)
 	if err != nil {
 		return core.Health{}, errors.Wrap(err, "server: health probe failed")
@@ -277,6 +282,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := checkExchange(req, resp); err != nil {
+		trace.closeConn()
 		return core.Health{}, errors.Wrap(err, "server: health probe failed")
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -333,3 +333,25 @@
 		})
 	}
 }
+
+// Guards against an answer with a status that HTTP does not have, such as 000, which
+// reaches the caller as an answer, or a connection that is used again after it.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		var conns sync.Map
+		target, _ := startRawServer(t, func(conn net.Conn, _ int64) {
+			conns.Store(conn.RemoteAddr().String(), true)
+			writeText(conn, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
+		})
+		c := server.New(server.Config{Timer: timer.NewReal()})
+		for n := range 2 {
+			_, err := c.Send(context.Background(), target, orderRequest())
+			require.Equal(t, core.SendUnknown, stateOf(t, err), status)
+			_, err = c.Probe(context.Background(), target)
+			require.Error(t, err, status)
+			opened := 0
+			conns.Range(func(any, any) bool { opened++; return true })
+			require.Equal(t, 2*(n+1), opened, "a connection was used again after status %s", status)
+		}
+	}
+}
