beacon, edge: let copies of large configurations arrive

Cause: a configuration is one row, so that each change sends all routes, 0.4 MB for 1,500, to every host, mostly from other hosts. An attempt to fetch changes had 0.6 s in all and was hedged each 0.15 s, up to four at once, whether or not bytes arrived. A host with 10 Mbit/s sends one such copy in a third of a second; with a few that ask at once none is done in time.

Change: copies are compressed, to about a tenth, if both hosts can do it (a WebSocket subprotocol; older builds get and send them as before), and the compressed form is cached. An attempt ends after 0.6 s without progress, no longer after 0.6 s in all, and another host is asked after 0.15 s without progress, or 0.6 s.

Why it works: a transfer that goes on is neither given up nor doubled, so that each byte that was sent counts, and there are fewer of them.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,12 +18,14 @@
 	// domain has reported the change yet.
 	catchUpDelay = 250 * time.Millisecond
 	localDelay   = 60 * time.Millisecond
-	// hedgeDelay is how long a host waits for changes from one host before it also
-	// asks another one. The first one may have frozen, or a packet was lost.
+	// hedgeDelay is how long a host waits for the next part of the changes from one host
+	// before it also asks another one. The first one may have frozen, or a packet was lost.
 	hedgeDelay = 150 * time.Millisecond
-	// fetchTimeout bounds an attempt to fetch changes. Attempts to fetch a whole
-	// table have the time that it takes.
+	// fetchTimeout is how long an attempt to fetch changes goes on without any progress,
+	// and after which another host is asked although there is some.
 	fetchTimeout = 600 * time.Millisecond
+	// tableTimeout is the same as fetchTimeout for the attempt to fetch a whole table.
+	tableTimeout = 1500 * time.Millisecond
 	// maxFetches bounds the concurrent attempts.
 	maxFetches = int(fetchTimeout / hedgeDelay)
 )
@@ -58,7 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := fetches{host: h, table: table, heard: heard, asked: make(map[string]bool), done: make(chan fetched, maxFetches)}
+	f := &fetches{host: h, table: table, heard: heard, asked: make(map[string]bool), done: make(chan fetched, maxFetches)}
 	for ctx.Err() == nil && f.next(ctx) {
 		hedge := hedgeDelay
 		if _, asOf := h.missing(table); asOf == 0 {
@@ -91,7 +94,17 @@
 	heard   time.Duration   // when this host heard of the changes
 	asked   map[string]bool // hosts that failed, had nothing new, or have not answered yet
 	running int
-	done    chan fetched
+	started time.Duration // the last attempt
+	// progress is when a part of the changes last arrived, in nanoseconds of the timer.
+	progress atomic.Int64
+	done     chan fetched
+}
+
+// isArriving reports whether the changes are being transferred. To fetch them twice would
+// slow down both transfers, and those to other hosts.
+func (f *fetches) isArriving() bool {
+	now := f.host.timer.Now()
+	return f.running > 0 && now < time.Duration(f.progress.Load())+hedgeDelay && now < f.started+fetchTimeout
 }
 
 // fetched is the end of an attempt.
@@ -109,7 +122,7 @@
 	if len(sources) == 0 || asOf == 0 && f.host.members.FollowsStore() && !m.Failing() {
 		return false
 	}
-	if f.running == maxFetches {
+	if f.running == maxFetches || f.isArriving() {
 		return true
 	}
 	for _, from := range sources {
@@ -118,6 +131,7 @@
 		}
 		f.asked[from] = true
 		f.running++
+		f.started = f.host.timer.Now()
 		go func() { f.done <- fetched{from: from, adopted: f.fetch(ctx, from, asOf)} }()
 		return true
 	}
@@ -141,17 +155,19 @@
 	h := f.host
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if after > 0 {
-		timeout := h.timer.After(fetchTimeout)
-		go func() {
-			select {
-			case <-ctx.Done():
-			case <-timeout:
-				cancel()
-			}
-		}()
-	}
-	c, err := beacon.FetchSnapshot(ctx, from, h.cfg.Place.PeerPort, f.table, after)
+	timeout := fetchTimeout
+	if after == 0 {
+		timeout = tableTimeout
+	}
+	var last atomic.Int64 // progress of this attempt
+	onProgress := func() {
+		now := int64(h.timer.Now())
+		last.Store(now)
+		f.progress.Store(now)
+	}
+	last.Store(int64(h.timer.Now()))
+	go h.cancelWhenStalled(ctx, cancel, &last, timeout)
+	c, err := beacon.FetchSnapshot(ctx, beacon.Fetch{Address: from, Port: h.cfg.Place.PeerPort, Table: f.table, After: after, OnProgress: onProgress})
 	lacking := h.timer.Now() - f.heard
 	log := h.cfg.Log.WithFields(logrus.Fields{"event": "catchup", "table": f.table, "own": after, "from": from, "lacking": lacking.Milliseconds()})
 	if err != nil {
@@ -171,6 +187,22 @@
 	return true
 }
 
+// cancelWhenStalled cancels an attempt once its last progress, in nanoseconds of the
+// timer, is older than the timeout. It returns when ctx ends.
+func (h *host) cancelWhenStalled(ctx context.Context, cancel context.CancelFunc, last *atomic.Int64, timeout time.Duration) {
+	for ctx.Err() == nil {
+		left := time.Duration(last.Load()) + timeout - h.timer.Now()
+		if left <= 0 {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-h.timer.After(left):
+		}
+	}
+}
+
 // wake sends to a channel with room for one value, unless it is full.
 func wake(c chan<- struct{}) {
 	select {
--- a/io/beacon/snapshot.go
+++ b/io/beacon/snapshot.go
@@ -1,7 +1,9 @@
 package beacon
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,12 +21,15 @@
 )
 
 const (
-	// copyTimeout is the timeout for transferring a copy between hosts.
-	copyTimeout = 1500 * time.Millisecond
+	// copyTimeout is the timeout for transferring a copy between hosts. A configuration
+	// of some thousand routes takes seconds on a link that is busy otherwise.
+	copyTimeout = 4 * time.Second
 	// maxCopy is the largest encoded copy, in bytes. It leaves room for some
 	// thousands of servers, or for a configuration with rows of 64 KB.
 	maxCopy  = 16 << 20
 	copyPath = "/copy/"
+	// copyPart is after how many bytes of a copy its transfer counts as going on.
+	copyPart = 4 << 10
 )
 
 // recordWire is the encoded form of a core.Record.
@@ -52,28 +57,52 @@
 // holdsWire is the encoded form of the holds of a snapshot, in milliseconds.
 type holdsWire map[string]int64
 
-// copyCache holds the encoded form of the last copy of a table that was sent.
-// When all hosts of a domain start together, they request the same copy.
-// Encoding it for each of them took most of a host's memory with 50 hosts in
-// a domain. It is safe for concurrent use.
-type copyCache struct {
-	mu                  sync.Mutex
+// maxCached is how many encoded copies of a table are kept: hosts that lag by different
+// versions ask for different changes.
+const maxCached = 4
+
+// copyKey tells the copies of a table apart.
+type copyKey struct {
 	after, asOf, change uint64
-	lapsed              bool
-	raw                 []byte // without the holds, which change with time
+	lapsed, packed      bool
+}
+
+// cachedCopy is an encoded copy without the holds, which change with time.
+type cachedCopy struct {
+	key copyKey
+	raw []byte
+}
+
+// copyCache holds the encoded forms of the copies of a table that were sent last. When
+// all hosts of a domain start together, they request the same copy. Encoding it for
+// each of them took most of a host's memory with 50 hosts in a domain. It is safe for
+// concurrent use.
+type copyCache struct {
+	mu     sync.Mutex
+	copies []cachedCopy // the newest last
 }
 
-func (e *copyCache) encode(c mirror.Snapshot) ([]byte, error) {
+func (e *copyCache) encode(c mirror.Snapshot, packed bool) ([]byte, error) {
+	key := copyKey{after: c.After, asOf: c.Version, change: c.Newest, lapsed: len(c.Holds) > 0, packed: packed}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.raw != nil && e.after == c.After && e.asOf == c.Version && e.change == c.Newest && e.lapsed == (len(c.Holds) > 0) {
-		return e.raw, nil
+	for _, cached := range e.copies {
+		if cached.key == key {
+			return cached.raw, nil
+		}
 	}
 	raw, err := encodeSnapshot(c)
-	if err == nil {
-		e.after, e.asOf, e.change, e.lapsed, e.raw = c.After, c.Version, c.Newest, len(c.Holds) > 0, raw
+	if err == nil && packed {
+		raw, err = pack(raw)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if len(e.copies) == maxCached {
+		e.copies = e.copies[1:]
 	}
-	return raw, err
+	e.copies = append(e.copies, cachedCopy{key: key, raw: raw})
+	return raw, nil
 }
 
 // SnapshotHandler serves copies of tables to other hosts. The query parameter
@@ -90,14 +119,14 @@
 			c.Status(http.StatusNotFound)
 			return
 		}
-		socket, err := websocket.Accept(c.Writer, c.Request, nil)
+		socket, err := websocket.Accept(c.Writer, c.Request, &websocket.AcceptOptions{Subprotocols: []string{packedProtocol}})
 		if err != nil {
 			return // Accept has written the response
 		}
 		defer func() { _ = socket.CloseNow() }()
 		after, _ := strconv.ParseUint(c.Query("after"), 10, 64) // 0, also if missing or malformed, means the whole table
 		snapshot := m.Snapshot(after)
-		raw, err := caches[core.FeedTable(c.Param("table"))].encode(snapshot)
+		raw, err := caches[core.FeedTable(c.Param("table"))].encode(snapshot, socket.Subprotocol() == packedProtocol)
 		if err != nil {
 			return
 		}
@@ -149,6 +178,28 @@
 	return holds, nil
 }
 
+// readCopy reads a message and calls onProgress after each part of it.
+func readCopy(ctx context.Context, socket *websocket.Conn, onProgress func()) ([]byte, error) {
+	socket.SetReadLimit(maxCopy)
+	_, r, err := socket.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	for {
+		n, err := io.CopyN(&b, r, copyPart)
+		if n > 0 {
+			onProgress()
+		}
+		if errors.Is(err, io.EOF) {
+			return b.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 func encodeSnapshot(c mirror.Snapshot) ([]byte, error) {
 	w := snapshotWire{After: c.After, AsOf: c.Version, Change: c.Newest, Lapsed: len(c.Holds) > 0, Rows: make([]recordWire, 0, len(c.Rows))}
 	for _, r := range c.Rows {
@@ -158,14 +209,30 @@
 	return raw, codes.Wrap(err, codes.Internal, "beacon: cannot encode table copy")
 }
 
-// FetchSnapshot fetches the changes of a table after a version from another host,
-// or the whole table if after is 0 or that host does not have all the
-// changes. Errors carry PeerDown, or PeerFrame if the response is invalid.
-func FetchSnapshot(ctx context.Context, address string, port int, t core.FeedTable, after uint64) (mirror.Snapshot, error) {
+// Fetch describes a copy that another host is asked for.
+type Fetch struct {
+	Address string
+	Port    int
+	Table   core.FeedTable
+	// After limits the copy to the changes after a version. 0, or a host that does not
+	// have all the changes, gives the whole table.
+	After uint64
+	// OnProgress, if set, is called when the connection is open and whenever a part of
+	// the copy has arrived.
+	OnProgress func()
+}
+
+// FetchSnapshot fetches a copy from another host. Errors carry PeerDown, or PeerFrame if
+// the response is invalid.
+func FetchSnapshot(ctx context.Context, f Fetch) (mirror.Snapshot, error) {
+	if f.OnProgress == nil {
+		f.OnProgress = func() {}
+	}
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	url := "ws://" + net.JoinHostPort(address, strconv.Itoa(port)) + copyPath + string(t) + "?after=" + strconv.FormatUint(after, 10)
-	socket, resp, err := websocket.Dial(ctx, url, nil)
+	address := f.Address
+	url := "ws://" + net.JoinHostPort(address, strconv.Itoa(f.Port)) + copyPath + string(f.Table) + "?after=" + strconv.FormatUint(f.After, 10)
+	socket, resp, err := websocket.Dial(ctx, url, &websocket.DialOptions{Subprotocols: []string{packedProtocol}})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
@@ -173,11 +240,16 @@
 		return mirror.Snapshot{}, codes.Wrap(err, codes.PeerDown, "beacon: cannot connect to host %s", address)
 	}
 	defer func() { _ = socket.CloseNow() }()
-	socket.SetReadLimit(maxCopy)
-	_, raw, err := socket.Read(ctx)
+	f.OnProgress()
+	raw, err := readCopy(ctx, socket, f.OnProgress)
 	if err != nil {
 		return mirror.Snapshot{}, codes.Wrap(err, codes.PeerDown, "beacon: cannot read table copy from host %s", address)
 	}
+	if socket.Subprotocol() == packedProtocol {
+		if raw, err = unpack(raw); err != nil {
+			return mirror.Snapshot{}, codes.Wrap(err, codes.PeerFrame, "beacon: cannot decode table copy")
+		}
+	}
 	var w snapshotWire
 	if err := cbor.Unmarshal(raw, &w); err != nil {
 		return mirror.Snapshot{}, codes.Wrap(errors.WithStack(err), codes.PeerFrame, "beacon: cannot decode table copy")
--- a/io/beacon/snapshot_test.go
+++ b/io/beacon/snapshot_test.go
@@ -1,7 +1,10 @@
 package beacon_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"azurering/core"
+	"azurering/core/codes"
 	"azurering/core/mirror"
 	"azurering/core/timer"
 	"azurering/io/beacon"
@@ -47,11 +51,11 @@
 		row := core.Record{Key: fmt.Sprint("s-", version), Value: []byte("x"), Version: version}
 		require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{row}, After: version - 1, Version: version, Newest: version}))
 		for range 2 {
-			got, err := beacon.FetchSnapshot(t.Context(), host, port, core.FeedServers, 0)
+			got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: host, Port: port, Table: core.FeedServers, After: 0})
 			require.NoError(t, err)
 			require.Len(t, got.Rows, int(version))
 			require.Equal(t, version, got.Version)
-			got, err = beacon.FetchSnapshot(t.Context(), host, port, core.FeedServers, version-1)
+			got, err = beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: host, Port: port, Table: core.FeedServers, After: version - 1})
 			require.NoError(t, err)
 			require.Contains(t, got.Rows, row)
 		}
@@ -70,13 +74,13 @@
 	}))
 	for _, left := range []time.Duration{time.Second, 600 * time.Millisecond, 200 * time.Millisecond} {
 		for _, after := range []uint64{0, 1} {
-			got, err := beacon.FetchSnapshot(t.Context(), address, port, core.FeedServers, after)
+			got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: after})
 			require.NoError(t, err)
 			require.Equal(t, map[string]time.Duration{"s": left}, got.Holds)
 		}
 		clock.Advance(400 * time.Millisecond)
 	}
-	got, err := beacon.FetchSnapshot(t.Context(), address, port, core.FeedServers, 1)
+	got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: 1})
 	require.NoError(t, err)
 	require.Empty(t, got.Holds)
 }
@@ -94,7 +98,7 @@
 		_ = socket.Close(websocket.StatusNormalClosure, "")
 	})
 	address, port := serve(t, old)
-	got, err := beacon.FetchSnapshot(t.Context(), address, port, core.FeedServers, 1)
+	got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: 1})
 	require.NoError(t, err)
 	require.Len(t, got.Rows, 1)
 	require.Empty(t, got.Holds)
@@ -118,3 +122,43 @@
 	require.Len(t, fields, 5)
 	require.Equal(t, true, fields[4], "a host of the previous build must keep the server")
 }
+
+// Guards against a host that takes a damaged copy for a whole one, or that fills its
+// memory with one that expands without end.
+func TestDamagedCompressedCopyIsRejected(t *testing.T) {
+	m := newMirror(timer.NewManual())
+	require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "s", Value: make([]byte, 100<<10), Version: 1}}, Version: 1, Newest: 1}))
+	address, port := serve(t, beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: m}))
+	socket, resp, err := websocket.Dial(t.Context(), fmt.Sprintf("ws://%s:%d/copy/servers", address, port), &websocket.DialOptions{Subprotocols: []string{"deflate"}})
+	require.NoError(t, err)
+	if resp.Body != nil {
+		require.NoError(t, resp.Body.Close())
+	}
+	defer func() { _ = socket.CloseNow() }()
+	_, whole, err := socket.Read(t.Context())
+	require.NoError(t, err)
+	require.Less(t, len(whole), 10<<10)
+	endless, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	require.NoError(t, err)
+	var bomb bytes.Buffer
+	endless.Reset(&bomb)
+	for range 20 {
+		_, err := endless.Write(make([]byte, 1<<20))
+		require.NoError(t, err)
+	}
+	require.NoError(t, endless.Close())
+	for name, sent := range map[string][]byte{"truncated": whole[:len(whole)/2], "not compressed": []byte("\x85\x80"), "empty": nil, "too long": bomb.Bytes()} {
+		t.Run(name, func(t *testing.T) {
+			address, port := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{"deflate"}})
+				if err != nil {
+					return
+				}
+				_ = socket.Write(r.Context(), websocket.MessageBinary, sent)
+				_ = socket.Close(websocket.StatusNormalClosure, "")
+			}))
+			_, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers})
+			require.Equal(t, codes.PeerFrame, codes.Of(err), "%v", err)
+		})
+	}
+}
