proxy, edge: deny nothing while a newer configuration is known to be missing

Cause: a host refused routes and keys that are not in its configuration with 404 and 401 also while it knew from heartbeats that another host has a newer one. Callers take these statuses for final, though the newer version may allow the request.

Change: in that time the host answers 503 with Retry-After, and code 5006, whose description said so already. Refusals that the configuration decides have the age of the host's copy in their log line (configage).

Evidence: TestRoutesAndKeysOfANewerConfigurationAreNotDenied failed before, in its first case with 404. A host that has not heard of a newer version still denies.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -87,6 +87,13 @@
 	return from, asOf
 }
 
+// lacksConfig reports whether another host has a change of the operators' table that this
+// host has not received.
+func (h *host) lacksConfig() bool {
+	from, _ := h.missing(core.FeedOperator)
+	return from != ""
+}
+
 // fetches are the attempts to fetch the missing changes of a table.
 type fetches struct {
 	host    *host
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -97,7 +97,7 @@
 	}
 	h.pacer = h.newPacer()
 	h.proxy = proxy.New(proxy.Config{
-		Timer: t, Backends: pool, Picker: view, Limiter: l, Budget: b, CurrentTable: w.table.Load, BorrowTokens: h.borrow,
+		Timer: t, Backends: pool, Picker: view, Limiter: l, Budget: b, CurrentTable: w.table.Load, LacksConfig: h.lacksConfig, BorrowTokens: h.borrow,
 		Permit: h.pacer.Permit, AnswersUntil: func() time.Duration { return time.Duration(h.answersUntil.Load()) },
 	})
 	c.permit = h.pacer.Permit
--- a/app/edge/large_test.go
+++ b/app/edge/large_test.go
@@ -117,9 +117,11 @@
 	value := make([]byte, 300<<10)
 	_, _ = rand.Read(value) // not compressible
 	h, _, opened := lateHost(t, "127.9.4.", value, 4, 250<<10)
+	require.True(t, h.lacksConfig())
 	go h.runCatchUp(t.Context(), core.FeedOperator)
 	wake(h.catchUpWake[core.FeedOperator])
 	require.Eventually(t, func() bool { return h.hasVersion(2) }, 20*time.Second, 5*time.Millisecond)
+	require.False(t, h.lacksConfig())
 	require.LessOrEqual(t, opened.Load(), int64(3), "transfers that go on were begun again elsewhere")
 }
 
--- a/app/edge/record.go
+++ b/app/edge/record.go
@@ -22,10 +22,12 @@
 	log     logrus.FieldLogger
 	metrics *metric.Metrics
 	copyAge func() time.Duration // age of the copy of the list of servers
+	// configAge is the age of the copy of the operators' table.
+	configAge func() time.Duration
 }
 
 func newRecorder(cfg Config, m *metric.Metrics, w *clusterState) *recorder {
-	return &recorder{log: cfg.Log, metrics: m, copyAge: w.mirrors[core.FeedServers].Age}
+	return &recorder{log: cfg.Log, metrics: m, copyAge: w.mirrors[core.FeedServers].Age, configAge: w.mirrors[core.FeedOperator].Age}
 }
 
 // logRequest writes one log line for a request and counts its outcome.
@@ -69,6 +71,9 @@
 	}
 	if d.Code != codes.OK {
 		fields["reason"] = d.Reason
+		if isDecidedByConfig(d.Code) {
+			fields["configage"] = r.configAge().Milliseconds()
+		}
 		r.metrics.CountRefusal(d.Workspace, d.Code)
 	} else {
 		r.metrics.RecordRequest(d.Workspace, d.Class, d.Duration, 0)
@@ -76,6 +81,16 @@
 	r.log.WithFields(fields).Info("edge: request handled")
 }
 
+// isDecidedByConfig reports whether the configuration alone makes a request end with a
+// code: an old copy of it makes the code wrong.
+func isDecidedByConfig(c codes.Code) bool {
+	switch c {
+	case codes.NoConfig, codes.RouteUnknown, codes.KeyMissing, codes.KeyUnknown:
+		return true
+	}
+	return false
+}
+
 // joinSizes formats sizes in bytes for a log line.
 func joinSizes(sizes []int64) string {
 	text := make([]string, 0, len(sizes))
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -52,6 +52,9 @@
 	Budget   *retry.Budget
 	// CurrentTable returns the routing table in force, or nil before the first one.
 	CurrentTable func() *routes.Table
+	// LacksConfig reports whether another host has told of a newer configuration than the
+	// one in force. It may allow what the one in force does not.
+	LacksConfig func() bool
 	// BorrowTokens asks other hosts for tokens of a workspace's rate limit. It
 	// reports whether one was left for the request that asked.
 	BorrowTokens func(context.Context, core.WorkspaceID) bool
@@ -151,7 +154,7 @@
 	r.record.Version = r.table.Version
 	r.rule = r.table.Match(r.call.Host, r.call.Path)
 	if r.rule == nil {
-		return codes.New(codes.RouteUnknown, "proxy: no route matches the host name and path")
+		return r.unknown(codes.RouteUnknown, "proxy: no route matches the host name and path")
 	}
 	r.record.Route, r.record.Class = r.rule.Name, r.rule.Class
 	r.deadline = r.call.Arrived + r.rule.Timeout
@@ -162,11 +165,11 @@
 		return nil
 	}
 	if r.call.APIKey == "" {
-		return codes.New(codes.KeyMissing, "proxy: route requires a key, and the request has none")
+		return r.unknown(codes.KeyMissing, "proxy: route requires a key, and the request has none")
 	}
 	r.holder = r.table.WorkspaceOf(r.call.APIKey)
 	if r.holder == nil {
-		return codes.New(codes.KeyUnknown, "proxy: key belongs to no workspace")
+		return r.unknown(codes.KeyUnknown, "proxy: key belongs to no workspace")
 	}
 	r.record.Workspace = r.holder.Name
 	wait, ok := r.cfg.Limiter.Take(r.holder.Name)
@@ -176,6 +179,16 @@
 	return nil
 }
 
+// unknown returns the error for a request that the configuration in force does not allow.
+// Callers do not repeat a request that gets the code, so that it must not be given while
+// a newer configuration is on its way.
+func (r *request) unknown(code codes.Code, text string) error {
+	if r.cfg.LacksConfig() {
+		return codes.New(codes.NoConfig, "%s in version %d of the configuration; a newer one is on its way", text, r.table.Version)
+	}
+	return codes.New(code, "%s", text)
+}
+
 // rateLimitError is a refusal with the time after which the caller may retry.
 type rateLimitError struct {
 	error
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -66,6 +66,8 @@
 	table    *routes.Table
 	stop     time.Duration // end of the answers of a host that stops
 	proxy    *proxy.Proxy
+
+	lacksConfig bool
 }
 
 func newTestEnv(outcomes ...outcome) *testEnv {
@@ -112,6 +114,7 @@
 	env.proxy = proxy.New(proxy.Config{
 		Timer: env.clock, Backends: env.backends, Picker: view, Limiter: limiter,
 		Budget: budget, CurrentTable: func() *routes.Table { return env.table },
+		LacksConfig:  func() bool { return env.lacksConfig },
 		BorrowTokens: func(context.Context, core.WorkspaceID) bool { return false },
 		Permit: func(_ context.Context, i core.Instance) core.Permit {
 			env.permits = append(env.permits, i.Name)
@@ -217,6 +220,34 @@
 	}
 }
 
+// Guards against requests that are refused for good, since their route or key is not in
+// the configuration of a host that has heard of a newer one and lacks it.
+func TestRoutesAndKeysOfANewerConfigurationAreNotDenied(t *testing.T) {
+	withKey := func(c *core.Call) { c.APIKey = "new" }
+	withoutKey := func(c *core.Call) { c.APIKey = "" }
+	for _, tt := range []struct {
+		path   string
+		change []func(*core.Call)
+		code   codes.Code
+	}{
+		{"/new/x", nil, codes.RouteUnknown},
+		{"/l/x", []func(*core.Call){withKey}, codes.KeyUnknown},
+		{"/l/x", []func(*core.Call){withoutKey}, codes.KeyMissing},
+	} {
+		env := newTestEnv(ok)
+		_, record := env.serve(tt.path, tt.change...)
+		require.Equal(t, tt.code, record.Code)
+		env.lacksConfig = true
+		reply, record := env.serve(tt.path, tt.change...)
+		require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+		require.Equal(t, codes.NoConfig, record.Code)
+		require.NotEmpty(t, reply.Header.Get("Retry-After"))
+		require.Empty(t, env.backends.sent)
+		reply, _ = env.serve("/l/x")
+		require.Equal(t, http.StatusOK, reply.Status, "what is in force is served")
+	}
+}
+
 // Guards against refusals over the rate without a Retry-After.
 func TestOverRateIsToldWhenToComeBack(t *testing.T) {
 	env := newTestEnv(ok)
