--- a/app/edge/large_test.go
+++ b/app/edge/large_test.go
@@ -26,27 +26,36 @@
 type slowListener struct {
 	net.Listener
 	perSecond int
-	sent      *atomic.Int64
-	opened    *atomic.Int64
+	// silenced, if set, is closed at the end of the test. The first connection sends only
+	// silenceAfter bytes and stays open until then.
+	silenced <-chan struct{}
+	sent     *atomic.Int64
+	opened   *atomic.Int64
 }
 
+const silenceAfter = 64 << 10
+
 func (l slowListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err == nil {
-		l.opened.Add(1)
+	if err != nil {
+		return nil, err
 	}
-	return slowConn{Conn: c, l: l}, err
+	return slowConn{Conn: c, l: l, goesSilent: l.opened.Add(1) == 1 && l.silenced != nil}, nil
 }
 
 type slowConn struct {
 	net.Conn
-	l slowListener
+	l          slowListener
+	goesSilent bool
 }
 
 func (c slowConn) Write(p []byte) (int, error) {
 	const part = 4 << 10
 	written := 0
 	for written < len(p) {
+		if c.goesSilent && c.l.sent.Load() >= silenceAfter {
+			<-c.l.silenced
+		}
 		n, err := c.Conn.Write(p[written:min(len(p), written+part)])
 		written += n
 		c.l.sent.Add(int64(n))
@@ -68,7 +77,7 @@
 // lateHost returns a host whose copy of the operators' table is at version 1 and that
 // knows hosts with version 2, behind links of a number of bytes a second. It also
 // returns the bytes that those have sent and the connections that they have accepted.
-func lateHost(t *testing.T, network string, value []byte, hosts, perSecond int) (h *host, sent, opened *atomic.Int64) {
+func lateHost(t *testing.T, network string, value []byte, hosts, perSecond int, silenced <-chan struct{}) (h *host, sent, opened *atomic.Int64) {
 	t.Helper()
 	clock := timer.NewReal()
 	own, source := newConfigMirror(clock), newConfigMirror(clock)
@@ -91,7 +100,9 @@
 		_, port, err = net.SplitHostPort(l.Addr().String())
 		require.NoError(t, err)
 		server := &http.Server{Handler: beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedOperator: source})}
-		go func() { _ = server.Serve(slowListener{Listener: l, perSecond: perSecond, sent: sent, opened: opened}) }()
+		go func() {
+			_ = server.Serve(slowListener{Listener: l, perSecond: perSecond, silenced: silenced, sent: sent, opened: opened})
+		}()
 		t.Cleanup(func() { _ = server.Close() })
 		h.members.Receive(gossip.Digest{Domain: "e", Heartbeats: []gossip.Heartbeat{{
 			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "e", Address: address, Seq: 1, Versions: map[core.FeedTable]uint64{core.FeedOperator: 2},
@@ -116,7 +127,7 @@
 func TestLargeConfigurationArrivesOverSlowLinks(t *testing.T) {
 	value := make([]byte, 300<<10)
 	_, _ = rand.Read(value) // not compressible
-	h, _, opened := lateHost(t, "127.9.4.", value, 4, 250<<10)
+	h, _, opened := lateHost(t, "127.9.4.", value, 4, 250<<10, nil)
 	require.True(t, h.lacksConfig())
 	go h.runCatchUp(t.Context(), core.FeedOperator)
 	wake(h.catchUpWake[core.FeedOperator])
@@ -133,7 +144,7 @@
 		value = fmt.Appendf(value, `{"resourceType":"routes","metadata":{"name":"r-%08x"},"spec":{"host":"h%d.example","prefix":"/p%07d/","kind":"idempotent","timeoutS":3,"latencyTargetS":0.6,"service":"desk","maxAttempts":3,"priority":2,"sticky":true}},`, n*7919, n%16, n)
 	}
 	value = append(value, `{}]}`...)
-	h, sent, _ := lateHost(t, "127.9.5.", value, 1, 1<<20)
+	h, sent, _ := lateHost(t, "127.9.5.", value, 1, 1<<20, nil)
 	go h.runCatchUp(t.Context(), core.FeedOperator)
 	wake(h.catchUpWake[core.FeedOperator])
 	require.Eventually(t, func() bool { return h.hasVersion(2) }, 20*time.Second, 5*time.Millisecond)
@@ -141,3 +152,15 @@
 	snapshot := h.state.mirrors[core.FeedOperator].Snapshot(0)
 	require.Equal(t, string(value), string(snapshot.Rows[0].Value))
 }
+
+// Guards against a connection between hosts that goes silent in the middle of a transfer
+// and keeps a change from a host: another host is asked for it.
+func TestTransferThatGoesSilentIsReplaced(t *testing.T) {
+	value := make([]byte, 300<<10)
+	_, _ = rand.Read(value)
+	h, _, opened := lateHost(t, "127.9.6.", value, 3, 1<<20, t.Context().Done())
+	go h.runCatchUp(t.Context(), core.FeedOperator)
+	wake(h.catchUpWake[core.FeedOperator])
+	require.Eventually(t, func() bool { return h.hasVersion(2) }, 20*time.Second, 5*time.Millisecond)
+	require.Greater(t, opened.Load(), int64(1), "the first connection did not go silent")
+}
--- a/core/mirror/confirm.go
+++ b/core/mirror/confirm.go
@@ -1,6 +1,9 @@
 package mirror
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 const (
 	// confirmWait is how long the calls of the host wait that confirms the copies of
@@ -88,6 +91,6 @@
 	defer m.mu.Unlock()
 	if m.waiting && m.cancel != nil && m.isStale(maxFollowerAge) {
 		m.waiting = false
-		m.cancel()
+		m.cancel(context.DeadlineExceeded)
 	}
 }
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -117,7 +117,7 @@
 	pending      []confirmation           // confirmations of versions that the copy has not reached
 	renewUntil   time.Duration            // until when owners may renew rows that expired during the last outage
 	holds        map[string]time.Duration // removed rows that may be renewed, and until when
-	cancel       context.CancelFunc       // cancels the call in progress
+	cancel       context.CancelCauseFunc  // cancels the call in progress; context.DeadlineExceeded if it is overdue
 	waiting      bool                     // the call in progress waits for changes
 
 	changedMu sync.Mutex // serializes calls of OnChange; locked before mu
@@ -182,7 +182,7 @@
 	m.recordHolds(changes, func(key string) time.Duration { return now + c.Holds[key] })
 	change := Change{Rows: changes, Holds: m.holdsLeft(), Source: c.Source}
 	if m.cancel != nil {
-		m.cancel()
+		m.cancel(nil)
 	}
 	m.mu.Unlock()
 	if len(changes) > 0 {
@@ -236,8 +236,8 @@
 
 // poll makes one call to the store and applies its response.
 func (m *Mirror) poll(ctx context.Context) error {
-	call, cancel := context.WithCancel(ctx)
-	defer cancel()
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	wait := m.cfg.PollTimeout
 	if m.cfg.Confirms != nil && m.cfg.Confirms() {
 		wait = confirmWait
@@ -281,15 +281,17 @@
 	return nil
 }
 
-// cancelAfter returns a context that ends with ctx or after a time.
+// cancelAfter returns a context that ends with ctx or, with the cause
+// context.DeadlineExceeded, after a time.
 func (m *Mirror) cancelAfter(ctx context.Context, d time.Duration) context.Context {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	timeout := m.cfg.Timer.After(d)
 	go func() {
-		defer cancel()
 		select {
 		case <-ctx.Done():
+			cancel(nil)
 		case <-timeout:
+			cancel(context.DeadlineExceeded)
 		}
 	}()
 	return ctx
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -21,6 +21,7 @@
 	responses []response
 	versions  []uint64        // version of each call to Follow; 0 for a call to List
 	waits     []time.Duration // of each call to Follow
+	causes    []error         // why calls without a response ended
 	idle      chan struct{}   // receives a value when no response is left
 }
 
@@ -44,6 +45,9 @@
 	default:
 	}
 	<-ctx.Done()
+	f.mu.Lock()
+	f.causes = append(f.causes, context.Cause(ctx))
+	f.mu.Unlock()
 	return core.Records{}, ctx.Err()
 }
 
@@ -353,3 +357,35 @@
 	l.clock.Advance(time.Second)
 	require.Greater(t, completeAt(records(30, row("a", 25))), listed)
 }
+
+// Guards against a client of the store that keeps its connections although a call on one
+// of them is overdue, or gives them up each time that a copy of another host ends a call.
+func TestOverdueCallsAreToldFromUnneededOnes(t *testing.T) {
+	l := newFixture(records(10))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.mirror.Run(ctx)
+	}()
+	causes := func() []error {
+		l.feed.mu.Lock()
+		defer l.feed.mu.Unlock()
+		return append([]error(nil), l.feed.causes...)
+	}
+	<-l.feed.idle // the call waits for changes
+	require.True(t, l.mirror.Merge(mirror.Snapshot{After: 10, Rows: []core.Record{row("a", 11)}, Version: 11, Newest: 11}))
+	require.Eventually(t, func() bool { return len(causes()) == 1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, []error{context.Canceled}, causes())
+	<-l.feed.idle
+	for range 40 { // 4 s in which the store answers nothing
+		l.clock.Advance(100 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
+	}
+	require.Greater(t, len(causes()), 2)
+	for _, cause := range causes()[1:] {
+		require.ErrorIs(t, cause, context.DeadlineExceeded)
+	}
+	cancel()
+	<-done
+}
