--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -273,8 +273,8 @@
 	return h.beacon.Close()
 }
 
-// closeHTTP ends the host's own HTTP servers. What is being answered then has until the
-// given time of the host's timer.
+// closeHTTP ends the host's own HTTP servers. Answers that are being written have
+// answerMargin, and their delivery has until the given time of the host's timer.
 func (h *host) closeHTTP(until time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), answerMargin)
 	defer cancel()
--- a/app/edge/large_test.go
+++ b/app/edge/large_test.go
@@ -139,9 +139,9 @@
 // Guards against configurations of many routes that fill the links between hosts: each
 // change is one row, with all routes, that each host sends to others.
 func TestConfigurationIsSentCompressed(t *testing.T) {
-	value := []byte(`{"version":2,"resources":[`)
+	value := []byte(`{"version":2,"routes":[`)
 	for n := range 1500 {
-		value = fmt.Appendf(value, `{"resourceType":"routes","metadata":{"name":"r-%08x"},"spec":{"host":"h%d.example","prefix":"/p%07d/","kind":"idempotent","timeoutS":3,"latencyTargetS":0.6,"service":"desk","maxAttempts":3,"priority":2,"sticky":true}},`, n*7919, n%16, n)
+		value = fmt.Appendf(value, `{"kind":"route","name":"r-%08x","host":"h%d.example","path":"/p%07d/","timeout":3,"target":0.6,"to":"desk","attempts":3,"priority":2,"keyed":true,"access":"%d"},`, n*7919, n%16, n, n%3)
 	}
 	value = append(value, `{}]}`...)
 	h, sent, _ := lateHost(t, "127.9.5.", value, 1, 1<<20, nil)
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -245,56 +245,6 @@
 	return &exchange{call: call, reply: make(chan *core.Reply, 1), closeAfter: closeAfter}, nil
 }
 
-// awaitRequest waits for the first byte of a request, and returns false if none comes.
-// The idle timeout does not apply while requests are in flight or their responses are
-// being delivered.
-func (c *conn) awaitRequest(limits core.Limits) bool {
-	for c.setIdleDeadline(limits.IdleTimeout) {
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			return true
-		}
-		var timeout net.Error
-		timedOut := errors.As(err, &timeout) && timeout.Timeout()
-		if timedOut && (c.hasInFlight() || c.server.cfg.Closer.Delivering(c.Conn, &c.delivery)) {
-			continue
-		}
-		c.setEnd(c.idleEndReason(timedOut))
-		c.cancel()
-		return false
-	}
-	return false
-}
-
-// setIdleDeadline sets the time by which the next request must begin. It returns
-// false if reading must stop: a closing connection takes no more requests, but
-// is read while one is in flight, to detect a disconnect.
-func (c *conn) setIdleDeadline(idle time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writeEnded || c.closing && c.inFlight == 0 {
-		return false
-	}
-	if c.closesIdle {
-		idle = closeDelay
-	}
-	c.extendIdle(idle)
-	return true
-}
-
-// extendIdle lets the wait for a request last for the given time from now. c.mu is held.
-func (c *conn) extendIdle(d time.Duration) {
-	if !c.writeEnded {
-		_ = c.SetReadDeadline(time.Now().Add(d)) // an error shows up in the read
-	}
-}
-
-func (c *conn) hasInFlight() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.inFlight > 0
-}
-
 // readBody buffers the request body up to maxBufferedBody bytes. A longer body
 // continues in call.BodyRest.
 func (c *conn) readBody(call *core.Call, req *http.Request, limits core.Limits) error {
@@ -393,7 +343,7 @@
 		c.inFlight--
 		c.closing = c.closing || closeAfter
 		if c.closesIdle && c.inFlight == 0 {
-			c.extendIdle(closeDelay) // the goroutine that reads waits with the idle timeout of before
+			c.setReadDeadlineLocked(time.Now().Add(closeDelay)) // the goroutine that reads has the idle timeout of before
 		}
 		c.mu.Unlock()
 		if closeAfter {
--- a/io/front/end.go
+++ b/io/front/end.go
@@ -41,30 +41,6 @@
 	}
 }
 
-// idleEndReason returns why the wait for a request ended.
-func (c *conn) idleEndReason(timedOut bool) EndReason {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case !timedOut:
-		return EndCaller
-	case c.closesIdle:
-		return EndStopped
-	}
-	return EndIdle
-}
-
-// closeIdle closes the connection once no request is in flight and none arrives within
-// closeDelay.
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closesIdle = true
-	if c.inFlight == 0 {
-		c.extendIdle(closeDelay)
-	}
-}
-
 // endWrite is called after the last write, and makes the goroutine that reads stop, so
 // that the connection ends. Requests pipelined behind the last response get none.
 func (c *conn) endWrite(r EndReason) {
@@ -90,6 +66,11 @@
 func (c *conn) setReadDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.setReadDeadlineLocked(t)
+}
+
+// setReadDeadlineLocked is setReadDeadline with c.mu held.
+func (c *conn) setReadDeadlineLocked(t time.Time) {
 	if !c.writeEnded {
 		_ = c.SetReadDeadline(t) // an error shows up in the read
 	}
