review: add case 13, a withdrawn key after a drill of the store

Cause: a copy refuses each version below its own, and nothing reads Store-Era. Change: a drill with a copy 6 s old, and a key that is withdrawn half a second after it.

--- /dev/null
+++ b/review/rig3/withdraw.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+func init() { cases[13] = playWithdraw }
+
+const (
+	contactTime = 3 * time.Second // contactS
+	applyTime   = 2 * time.Second // configApplyS
+	// copyAge is how old the copy is with which the store comes back, when it goes away.
+	copyAge = 6 * time.Second
+	// withdrawAfter is when the operator withdraws the key, after the store is back.
+	withdrawAfter = 500 * time.Millisecond
+)
+
+// playWithdraw lets the store come back from a copy some seconds old, after which the
+// operator withdraws a key. Clients go on using it on kept connections.
+func playWithdraw(w *world, trouble bool) (bool, error) {
+	if err := w.startServers(3, 8, 30*time.Millisecond); err != nil {
+		return false, err
+	}
+	if _, err := w.publish(3, usualConfig(newTenant("large", 0, 0, "key-old", "key-new"))); err != nil {
+		return false, err
+	}
+	var hosts []*machine
+	for _, zone := range []string{"kushiro", "nemuro", "wakkanai"} {
+		m, err := w.newMachine(zone, true, usualLimits)
+		if err != nil {
+			return false, err
+		}
+		hosts = append(hosts, m)
+	}
+	if err := startAll(hosts...); err != nil {
+		return false, err
+	}
+	time.Sleep(8 * time.Second) // from here on the copy has all that hosts write at their start
+	older := w.store.copy()
+	w.note("store", "a copy is made, ver=%d", older.ver)
+	time.Sleep(copyAge)
+	back := w.drill(older, trouble)
+	time.Sleep(withdrawAfter)
+	confirmed, err := w.publish(5, usualConfig(newTenant("large", 0, 0, "key-new")))
+	if err != nil {
+		return false, err
+	}
+	w.note("config", "version=5 no longer has key-old")
+	from := back.Add(contactTime)
+	if later := confirmed.Add(applyTime); later.After(from) {
+		from = later
+	}
+	w.noteAt(from, "judge", "from here on all hosts are in touch, and requests with key-old must not run")
+	return w.useKey(hosts, "key-old", from, 12*time.Second), nil
+}
+
+// useKey sends requests with a key to all hosts for a time, and reports whether one that
+// was sent after a moment has run.
+func (w *world) useKey(hosts []*machine, key string, from time.Time, d time.Duration) bool {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var late []exchange
+	for _, m := range hosts {
+		group.Go(func() {
+			c := w.newClient(m)
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				x := c.send("GET", "/lookup/queue", key, 4*time.Second, "")
+				if x.sent.After(from) && x.stamp != "" {
+					mu.Lock()
+					late = append(late, x)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	ran := make(map[string]bool)
+	for _, a := range w.allRuns() {
+		ran[a.id] = true
+	}
+	n := 0
+	for _, x := range late {
+		if ran[x.id] {
+			n++
+			w.noteAt(x.sent, "judge", "id=%s host=%s ran with the withdrawn key %.1f s after the bound", x.id, x.host, x.sent.Sub(from).Seconds())
+		}
+	}
+	w.note("judge", "%d requests ran with a withdrawn key, none may", n)
+	return n > 0
+}
