review: let case 11 be the withdrawn key, whose withdrawal is missed for good

Cause: tries with other drills showed hosts that never learn what was written after the drill: their first call after it finds the versions given out anew, and gets no 410. The cases go by gravity, so that this one comes first and the lost orders are case 13. Change: the operator adds a key 0.2 s before the store goes away for 2 s, and withdraws the older one when it is back. Heartbeats of the servers are spread over their interval.

--- a/review/rig3/flood.go
+++ b/review/rig3/flood.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases[11] = playFlood }
+func init() { cases[13] = playFlood }
 
 const (
 	uploads     = 12      // orders with long bodies
--- a/review/rig3/quota.go
+++ b/review/rig3/quota.go
@@ -42,7 +42,7 @@
 		return false, err
 	}
 	time.Sleep(2500 * time.Millisecond)
-	w.drill(older, trouble)
+	w.drill(older, time.Second, trouble)
 	time.Sleep(6 * time.Second)
 	added, err := w.newMachine("kushiro", false, usualLimits)
 	if err != nil {
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -68,7 +69,7 @@
 
 // run writes heartbeats. One that the store did not take is written again soon.
 func (s *server) run() {
-	wait := serverHeartbeat
+	wait := rand.N(serverHeartbeat) // the heartbeats of the servers are spread
 	for {
 		select {
 		case <-s.stop:
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -251,14 +251,14 @@
 	}
 }
 
-// drill makes the store go away for a second and come back from a copy. Without trouble
-// the time passes all the same.
-func (w *world) drill(older content, trouble bool) time.Time {
+// drill makes the store go away for a time and come back from a copy, and returns when it
+// is back. Without trouble the time passes all the same.
+func (w *world) drill(older content, away time.Duration, trouble bool) time.Time {
 	if trouble {
 		w.note("store", "away, ver=%d era=%d", w.store.version(), w.store.era)
 		w.store.leave()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(away)
 	if trouble {
 		w.store.comeBack(older)
 		w.note("store", "back, ver=%d era=%d", w.store.version(), w.store.era)
--- a/review/rig3/withdraw.go
+++ b/review/rig3/withdraw.go
@@ -5,28 +5,31 @@
 	"time"
 )
 
-func init() { cases[13] = playWithdraw }
+func init() { cases[11] = playWithdraw }
 
 const (
 	contactTime = 3 * time.Second // contactS
 	applyTime   = 2 * time.Second // configApplyS
-	// copyAge is how old the copy is with which the store comes back, when it goes away.
-	copyAge = 6 * time.Second
-	// withdrawAfter is when the operator withdraws the key, after the store is back.
-	withdrawAfter = 500 * time.Millisecond
+	// The copy with which the store comes back is made copyBefore before the operator adds a
+	// key. The store goes away addedBefore after that, for awayTime.
+	copyBefore  = time.Second
+	addedBefore = 200 * time.Millisecond
+	awayTime    = 2 * time.Second
+	watchTime   = 20 * time.Second
 )
 
-// playWithdraw lets the store come back from a copy some seconds old, after which the
-// operator withdraws a key. Clients go on using it on kept connections.
+// playWithdraw lets the operator add a key, the store go away and come back from a copy
+// some seconds old, and the operator withdraw the older key then. Clients go on using it.
 func playWithdraw(w *world, trouble bool) (bool, error) {
 	if err := w.startServers(3, 8, 30*time.Millisecond); err != nil {
 		return false, err
 	}
-	if _, err := w.publish(3, usualConfig(newTenant("large", 0, 0, "key-old", "key-new"))); err != nil {
+	withKeys := func(keys ...string) []resource { return usualConfig(newTenant("large", 0, 0, keys...)) }
+	if _, err := w.publish(3, withKeys("key-old")); err != nil {
 		return false, err
 	}
 	var hosts []*machine
-	for _, zone := range []string{"kushiro", "nemuro", "wakkanai"} {
+	for _, zone := range []string{"kushiro", "nemuro", "wakkanai", "kushiro", "nemuro", "wakkanai"} {
 		m, err := w.newMachine(zone, true, usualLimits)
 		if err != nil {
 			return false, err
@@ -39,20 +42,29 @@
 	time.Sleep(8 * time.Second) // from here on the copy has all that hosts write at their start
 	older := w.store.copy()
 	w.note("store", "a copy is made, ver=%d", older.ver)
-	time.Sleep(copyAge)
-	back := w.drill(older, trouble)
-	time.Sleep(withdrawAfter)
-	confirmed, err := w.publish(5, usualConfig(newTenant("large", 0, 0, "key-new")))
+	time.Sleep(copyBefore)
+	if _, err := w.publish(5, withKeys("key-old", "key-new")); err != nil {
+		return false, err
+	}
+	time.Sleep(addedBefore)
+	back := w.drill(older, awayTime, trouble)
+	if trouble {
+		// The operator writes again what is lost.
+		if _, err := w.publish(5, withKeys("key-old", "key-new")); err != nil {
+			return false, err
+		}
+	}
+	confirmed, err := w.publish(7, withKeys("key-new"))
 	if err != nil {
 		return false, err
 	}
-	w.note("config", "version=5 no longer has key-old")
+	w.note("config", "version=7 no longer has key-old")
 	from := back.Add(contactTime)
 	if later := confirmed.Add(applyTime); later.After(from) {
 		from = later
 	}
 	w.noteAt(from, "judge", "from here on all hosts are in touch, and requests with key-old must not run")
-	return w.useKey(hosts, "key-old", from, 12*time.Second), nil
+	return w.useKey(hosts, "key-old", from, watchTime), nil
 }
 
 // useKey sends requests with a key to all hosts for a time, and reports whether one that
