--- a/review/rig3/quota.go
+++ b/review/rig3/quota.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases[12] = playQuota }
+func init() { cases[15] = playQuota }
 
 // The tenant of the case, and the bounds of its settings.
 const (
