--- a/review/rig3/flood.go
+++ b/review/rig3/flood.go
@@ -15,9 +15,9 @@
 func init() { cases[13] = playFlood }
 
 const (
-	uploads     = 12      // orders with long bodies
-	uploadBytes = 2 << 20 // of a body; the configuration allows 64 MiB
-	uploadWork  = 4 * time.Second
+	uploads     = 12                      // orders with long bodies
+	uploadBytes = 2 << 20                 // of a body; the configuration allows 64 MiB
+	uploadWork  = 3400 * time.Millisecond // the longest of the site is 3480 ms
 	floodConns  = 3000
 )
 
@@ -53,7 +53,7 @@
 	for n := range results {
 		group.Go(func() { results[n] = w.upload(m) })
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(1500 * time.Millisecond)
 	f := &flood{w: w, to: m, stop: make(chan struct{})}
 	if trouble {
 		w.note("flood", "%d clients begin", floodConns)
--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -24,7 +24,7 @@
 	crowdBodies  = 8    // that a client sends behind its first request
 	bodyBytes    = 1_000_000
 	chunkBytes   = 32 << 10
-	slowWork     = 3500 * time.Millisecond // of the first request
+	slowWork     = 3400 * time.Millisecond // of the first request, an order; the longest of the site is 3480 ms
 	crowdPause   = 2 * time.Second         // for which a client stays after it has sent all
 	crowdTime    = 95 * time.Second
 	restartDelay = 500 * time.Millisecond
@@ -181,7 +181,7 @@
 	head := func(method, path, framing string) string {
 		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer key-large\r\n%s\r\n", method, path, siteHost, nextID(), framing)
 	}
-	if _, err := io.WriteString(c, head("GET", "/lookup/slow", "")); err != nil {
+	if _, err := io.WriteString(c, head("POST", "/order/slow", "Content-Length: 0\r\n")); err != nil {
 		return
 	}
 	for n := range crowdBodies {
