--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -20,7 +20,7 @@
 
 const (
 	crowdHosts   = 2
-	crowdClients = 4000 // on each host
+	crowdClients = 5000 // on each host
 	crowdBodies  = 8    // that a client sends behind its first request
 	bodyBytes    = 1_000_000
 	chunkBytes   = 32 << 10
