app/edge: log and count returns of the store from an older copy

No log line or metric told two hypotheses apart: a call that gets 410 and then a listing that is refused, and a call that gets no 410 because the count of versions has passed that of the copy again.

The first call that names a new era is logged with its table, the version that it followed from, the version of the answer and the result code, and counted in azurering_store_eras.

--- a/app/edge/count.go
+++ b/app/edge/count.go
@@ -2,23 +2,30 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"azurering/core"
 	"azurering/core/codes"
 	"azurering/io/metric"
 )
 
-// countingFeed counts the calls to the store by operation and result code.
+// countingFeed counts the calls to the store by operation and result code, and logs
+// which call showed first that the store has come back from an older copy.
 type countingFeed struct {
 	feed    core.Feed
 	metrics *metric.Metrics
+	log     logrus.FieldLogger
+	era     atomic.Uint64 // the last one that was logged
 }
 
 // List implements core.Feed.
 func (c *countingFeed) List(ctx context.Context, t core.FeedTable) (core.Records, error) {
 	got, err := c.feed.List(ctx, t)
 	c.metrics.CountStoreOperation("list", codes.Of(err))
+	c.logEra(logrus.Fields{"call": "list", "table": t, "version": got.Version, "code": int(codes.Of(err))})
 	return got, err
 }
 
@@ -26,6 +33,7 @@
 func (c *countingFeed) Follow(ctx context.Context, t core.FeedTable, after uint64, wait time.Duration) (core.Records, error) {
 	got, err := c.feed.Follow(ctx, t, after, wait)
 	c.metrics.CountStoreOperation("follow", codes.Of(err))
+	c.logEra(logrus.Fields{"call": "follow", "table": t, "after": after, "version": got.Version, "code": int(codes.Of(err))})
 	return got, err
 }
 
@@ -33,9 +41,29 @@
 func (c *countingFeed) Put(ctx context.Context, t core.FeedTable, key string, value []byte) error {
 	err := c.feed.Put(ctx, t, key, value)
 	c.metrics.CountStoreOperation("put", codes.Of(err))
+	c.logEra(logrus.Fields{"call": "put", "table": t, "code": int(codes.Of(err))})
 	return err
 }
 
+// Era implements core.Feed.
+func (c *countingFeed) Era() uint64 { return c.feed.Era() }
+
+// logEra logs and counts an era of the store after the first call that named it. The
+// first era that a process learns of is no return.
+func (c *countingFeed) logEra(call logrus.Fields) {
+	era, before := c.feed.Era(), c.era.Load()
+	if era <= before || !c.era.CompareAndSwap(before, era) {
+		return
+	}
+	log := c.log.WithFields(call).WithFields(logrus.Fields{"event": "era", "era": era, "before": before})
+	if before == 0 {
+		log.Info("edge: store named its era")
+		return
+	}
+	c.metrics.CountEra()
+	log.Warn("edge: store has come back from an older copy; what it has lost is written again, and its tables are read anew")
+}
+
 // registerGauges registers the values that are read when metrics are
 // collected.
 func (h *host) registerGauges() error {
--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -101,7 +101,7 @@
 }
 
 func newFeed(cfg Config, m *metric.Metrics) core.Feed {
-	return &countingFeed{feed: cfg.Feed, metrics: m}
+	return &countingFeed{feed: cfg.Feed, metrics: m, log: cfg.Log}
 }
 
 func newMembers(cfg Config, t core.Timer) *gossip.Members {
--- a/app/edge/leave_test.go
+++ b/app/edge/leave_test.go
@@ -79,6 +79,8 @@
 
 func (f *steppedFeed) Put(context.Context, core.FeedTable, string, []byte) error { return nil }
 
+func (f *steppedFeed) Era() uint64 { return 0 }
+
 // serverList is a host's list of servers in virtual time.
 type serverList struct {
 	t      *testing.T
--- a/core/feed.go
+++ b/core/feed.go
@@ -44,4 +44,8 @@
 	Follow(ctx context.Context, t FeedTable, after uint64, wait time.Duration) (Records, error)
 	// Put writes one row unconditionally.
 	Put(ctx context.Context, t FeedTable, key string, value []byte) error
+	// Era returns the newest era of the store that a response has named, or 0. The
+	// store begins a new era when it comes back from an older copy of its content:
+	// acknowledged writes are lost then, and versions are given out again.
+	Era() uint64
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -64,6 +64,8 @@
 
 func (f *fakeFeed) Put(context.Context, core.FeedTable, string, []byte) error { return nil }
 
+func (f *fakeFeed) Era() uint64 { return 0 }
+
 type event struct {
 	key     string
 	removed bool
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -42,6 +42,7 @@
 	entries  metric.Int64Counter
 	late     metric.Int64Counter
 	leaves   metric.Int64Counter
+	eras     metric.Int64Counter
 	ends     metric.Int64Counter
 	ports    metric.Int64Counter
 }
@@ -81,6 +82,7 @@
 		{&m.loans, "azurering_loans", "Requests to other hosts for a part of a workspace's rate, by result."},
 		{&m.late, "azurering_catchup_late", "Changes of the store's tables that reached this host later than a quarter of a second after it had heard of them, by table."},
 		{&m.leaves, "azurering_leave_notices", "Backend servers that have said in an answer, to this host or to another one, that they leave."},
+		{&m.eras, "azurering_store_eras", "Times that the store was found to have come back from an older copy."},
 		{&m.ends, "azurering_caller_connections_ended", "Connections of callers that ended, by reason and by what the kernel still held of them."},
 		{&m.ports, "azurering_port_evictions", "Connections to the host's own HTTP servers that were closed in favor of others, or refused, by port."},
 		{&m.entries, "azurering_invalid_entries", "Entries of the store's tables that cannot be used, by table."},
@@ -150,6 +152,9 @@
 	m.late.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", string(table))))
 }
 
+// CountEra counts a return of the store from an older copy.
+func (m *Metrics) CountEra() { m.eras.Add(context.Background(), 1) }
+
 // CountLeaveNotice counts a server that has said that it leaves.
 func (m *Metrics) CountLeaveNotice() { m.leaves.Add(context.Background(), 1) }
 
