--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -64,7 +64,7 @@
 	f := &fetches{host: h, table: table, heard: heard, asked: make(map[string]bool), done: make(chan fetched, maxFetches)}
 	for ctx.Err() == nil && f.next(ctx) {
 		hedge := hedgeDelay
-		if _, asOf := h.missing(table); asOf == 0 {
+		if _, asOf := h.missing(table); asOf.IsZero() {
 			hedge = fetchTimeout // a whole table takes longer, and costs more to fetch twice
 		}
 		select {
@@ -79,7 +79,7 @@
 // missing returns the address of the host to ask first for the changes of a table,
 // and the version up to which this host's copy is complete. The address is "" if no
 // live host reports a newer change.
-func (h *host) missing(table core.FeedTable) (from string, asOf uint64) {
+func (h *host) missing(table core.FeedTable) (from string, asOf core.Version) {
 	asOf, _ = h.state.mirrors[table].Versions()
 	if sources := h.members.Sources(table, asOf); len(sources) > 0 {
 		from = sources[0]
@@ -126,7 +126,7 @@
 	m := f.host.state.mirrors[f.table]
 	asOf, _ := m.Versions()
 	sources := f.host.members.Sources(f.table, asOf)
-	if len(sources) == 0 || asOf == 0 && f.host.members.FollowsStore() && !m.Failing() {
+	if len(sources) == 0 || asOf.IsZero() && f.host.members.FollowsStore() && !m.Failing() {
 		return false
 	}
 	if f.running == maxFetches || f.isArriving() {
@@ -158,12 +158,12 @@
 
 // fetch fetches the changes after a version from a host and reports whether they were
 // new.
-func (f *fetches) fetch(ctx context.Context, from string, after uint64) bool {
+func (f *fetches) fetch(ctx context.Context, from string, after core.Version) bool {
 	h := f.host
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := fetchTimeout
-	if after == 0 {
+	if after.IsZero() {
 		timeout = tableTimeout
 	}
 	var last atomic.Int64 // progress of this attempt
--- a/app/edge/catchup_test.go
+++ b/app/edge/catchup_test.go
@@ -27,7 +27,7 @@
 	h := &host{members: gossip.New(gossip.Config{Timer: l.clock, Self: gossip.Heartbeat{Host: "own", Domain: "d"}})}
 	h.state = &clusterState{mirrors: map[core.FeedTable]*mirror.Mirror{core.FeedServers: l.mirror}}
 	h.members.Receive(gossip.Digest{Domain: "d", Heartbeats: []gossip.Heartbeat{{
-		Host: "first", Domain: "d", Address: "127.0.0.1", Seq: 1, Versions: map[core.FeedTable]uint64{core.FeedServers: newest},
+		Host: "first", Domain: "d", Address: "127.0.0.1", Seq: 1, Versions: map[core.FeedTable]core.Version{core.FeedServers: {Number: newest}},
 	}}})
 	return h
 }
@@ -37,11 +37,11 @@
 func TestHostFetchesOnlyWhatItLacks(t *testing.T) {
 	l := startedList(t, timer.NewManual())
 	l.next()
-	require.True(t, l.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-1", 1)}, Version: 20, Newest: 1}))
+	require.True(t, l.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-1", 1)}, Version: core.Version{Number: 20}, Newest: core.Version{Number: 1}}))
 	for newest, lacks := range map[uint64]bool{1: false, 15: false, 20: false, 21: true} {
 		from, asOf := follower(t, l, newest).missing(core.FeedServers)
 		require.Equal(t, lacks, from != "", "newest change %d", newest)
-		require.EqualValues(t, 20, asOf)
+		require.EqualValues(t, 20, asOf.Number)
 	}
 }
 
@@ -53,7 +53,7 @@
 	l := startedList(t, timer.NewManual())
 	l.next()
 	source := newServerList(t, l.clock, core.HostSettings{})
-	require.True(t, source.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-2", 5)}, Version: 5, Newest: 5}))
+	require.True(t, source.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-2", 5)}, Version: core.Version{Number: 5}, Newest: core.Version{Number: 5}}))
 	silent, err := net.Listen("tcp", "127.9.1.1:0")
 	require.NoError(t, err)
 	defer func() { _ = silent.Close() }()
@@ -72,14 +72,14 @@
 	h.catchUpWake = map[core.FeedTable]chan struct{}{core.FeedServers: make(chan struct{}, 1)}
 	for i, address := range []string{"127.9.1.1", "127.9.1.2"} {
 		h.members.Receive(gossip.Digest{Domain: "d", Heartbeats: []gossip.Heartbeat{{
-			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "d", Address: address, Seq: 1, Versions: map[core.FeedTable]uint64{core.FeedServers: 6},
+			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "d", Address: address, Seq: 1, Versions: map[core.FeedTable]core.Version{core.FeedServers: {Number: 6}},
 		}}})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go h.runCatchUp(ctx, core.FeedServers)
 	h.catchUpWake[core.FeedServers] <- struct{}{}
-	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf == 5 }, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf.Number == 5 }, 20*time.Second, 5*time.Millisecond)
 }
 
 // Guards against requests to a server that has left, because several hosts in
@@ -90,7 +90,7 @@
 	l := startedList(t, timer.NewManual())
 	l.next()
 	source := newServerList(t, l.clock, core.HostSettings{})
-	require.True(t, source.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-2", 5)}, Version: 5, Newest: 5}))
+	require.True(t, source.mirror.Merge(mirror.Snapshot{Rows: []core.Record{entry("i-2", 5)}, Version: core.Version{Number: 5}, Newest: core.Version{Number: 5}}))
 	port := "0"
 	for i := range silentHosts + 1 {
 		listener, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprint("127.9.2.", i+1), port))
@@ -115,14 +115,14 @@
 	for i := range silentHosts + 1 {
 		h.members.Receive(gossip.Digest{Domain: "e", Heartbeats: []gossip.Heartbeat{{
 			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "e", Address: fmt.Sprint("127.9.2.", i+1), Seq: 1,
-			Versions: map[core.FeedTable]uint64{core.FeedServers: 5},
+			Versions: map[core.FeedTable]core.Version{core.FeedServers: {Number: 5}},
 		}}})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go h.runCatchUp(ctx, core.FeedServers)
 	h.catchUpWake[core.FeedServers] <- struct{}{}
-	learned := func() bool { asOf, _ := l.mirror.Versions(); return asOf == 5 }
+	learned := func() bool { asOf, _ := l.mirror.Versions(); return asOf.Number == 5 }
 	for until := l.clock.Now() + 1200*time.Millisecond; l.clock.Now() < until && !learned(); l.clock.Advance(10 * time.Millisecond) {
 		time.Sleep(time.Millisecond)
 	}
--- a/app/edge/count.go
+++ b/app/edge/count.go
@@ -30,7 +30,7 @@
 }
 
 // Follow implements core.Feed.
-func (c *countingFeed) Follow(ctx context.Context, t core.FeedTable, after uint64, wait time.Duration) (core.Records, error) {
+func (c *countingFeed) Follow(ctx context.Context, t core.FeedTable, after core.Version, wait time.Duration) (core.Records, error) {
 	got, err := c.feed.Follow(ctx, t, after, wait)
 	c.metrics.CountStoreOperation("follow", codes.Of(err))
 	c.logEra(logrus.Fields{"call": "follow", "table": t, "after": after, "version": got.Version, "code": int(codes.Of(err))})
--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -77,7 +77,7 @@
 // heartbeat returns this host's current heartbeat.
 func (h *host) heartbeat() gossip.Heartbeat {
 	b := staticHeartbeat(h.cfg)
-	b.StartedMs, b.Ready, b.Versions = h.bootTime, h.isReady(), make(map[core.FeedTable]uint64)
+	b.StartedMs, b.Ready, b.Versions = h.bootTime, h.isReady(), make(map[core.FeedTable]core.Version)
 	b.Demand, b.InFlight, b.SpareTokens = h.limiter.Demand(), h.view.InFlight(), h.limiter.SpareTokens()
 	for table, m := range h.state.mirrors {
 		_, b.Versions[table] = m.Versions()
@@ -103,6 +103,7 @@
 		h.view.SetRemoteInFlight(others.InFlight)
 		h.sendLimitNotices()
 		h.suspectSilentServers()
+		h.state.endHeldEvacuations()
 		for _, id := range h.view.Tick() {
 			h.cfg.Log.WithFields(logrus.Fields{"event": "server", "server": id}).Info("edge: lapsed entry of a server was not renewed; the server gets no more requests")
 		}
--- a/app/edge/large_test.go
+++ b/app/edge/large_test.go
@@ -82,9 +82,9 @@
 	clock := timer.NewReal()
 	own, source := newConfigMirror(clock), newConfigMirror(clock)
 	for _, m := range []*mirror.Mirror{own, source} {
-		require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "config", Value: []byte("old"), Version: 1}}, Version: 1, Newest: 1}))
+		require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "config", Value: []byte("old"), Version: core.Version{Number: 1}}}, Version: core.Version{Number: 1}, Newest: core.Version{Number: 1}}))
 	}
-	require.True(t, source.Merge(mirror.Snapshot{After: 1, Rows: []core.Record{{Key: "config", Value: value, Version: 2}}, Version: 2, Newest: 2}))
+	require.True(t, source.Merge(mirror.Snapshot{After: core.Version{Number: 1}, Rows: []core.Record{{Key: "config", Value: value, Version: core.Version{Number: 2}}}, Version: core.Version{Number: 2}, Newest: core.Version{Number: 2}}))
 	sent, opened = new(atomic.Int64), new(atomic.Int64)
 	port := "0"
 	h = &host{timer: clock, members: gossip.New(gossip.Config{Timer: clock, Self: gossip.Heartbeat{Host: "own", Domain: "d"}})}
@@ -105,7 +105,7 @@
 		}()
 		t.Cleanup(func() { _ = server.Close() })
 		h.members.Receive(gossip.Digest{Domain: "e", Heartbeats: []gossip.Heartbeat{{
-			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "e", Address: address, Seq: 1, Versions: map[core.FeedTable]uint64{core.FeedOperator: 2},
+			Host: core.HostID(fmt.Sprint("host-", i)), Domain: "e", Address: address, Seq: 1, Versions: map[core.FeedTable]core.Version{core.FeedOperator: {Number: 2}},
 		}}})
 	}
 	var err error
@@ -118,7 +118,7 @@
 
 func (h *host) hasVersion(v uint64) bool {
 	asOf, _ := h.state.mirrors[core.FeedOperator].Versions()
-	return asOf == v
+	return asOf.Number == v
 }
 
 // Guards against a host that never gets a large configuration from others behind busy
@@ -149,7 +149,7 @@
 	wake(h.catchUpWake[core.FeedOperator])
 	require.Eventually(t, func() bool { return h.hasVersion(2) }, 20*time.Second, 5*time.Millisecond)
 	require.Less(t, sent.Load(), int64(len(value)/5))
-	snapshot := h.state.mirrors[core.FeedOperator].Snapshot(0)
+	snapshot := h.state.mirrors[core.FeedOperator].Snapshot(core.Version{})
 	require.Equal(t, string(value), string(snapshot.Rows[0].Value))
 }
 
--- a/app/edge/leave_test.go
+++ b/app/edge/leave_test.go
@@ -33,7 +33,7 @@
 // storeCall is a call of a host to the store that waits for its reply.
 type storeCall struct {
 	ctx   context.Context
-	after uint64 // 0 for a call to List
+	after core.Version // zero for a call to List
 	reply chan storeReply
 }
 
@@ -54,7 +54,7 @@
 // steppedFeed hands the calls for the servers' table to the test.
 type steppedFeed struct{ calls chan storeCall }
 
-func (f *steppedFeed) call(ctx context.Context, after uint64) (core.Records, error) {
+func (f *steppedFeed) call(ctx context.Context, after core.Version) (core.Records, error) {
 	c := storeCall{ctx: ctx, after: after, reply: make(chan storeReply, 1)}
 	select {
 	case f.calls <- c:
@@ -70,10 +70,10 @@
 }
 
 func (f *steppedFeed) List(ctx context.Context, _ core.FeedTable) (core.Records, error) {
-	return f.call(ctx, 0)
+	return f.call(ctx, core.Version{})
 }
 
-func (f *steppedFeed) Follow(ctx context.Context, _ core.FeedTable, after uint64, _ time.Duration) (core.Records, error) {
+func (f *steppedFeed) Follow(ctx context.Context, _ core.FeedTable, after core.Version, _ time.Duration) (core.Records, error) {
 	return f.call(ctx, after)
 }
 
@@ -132,7 +132,7 @@
 	for _, s := range servers {
 		rows = append(rows, entry(s, version))
 	}
-	l.next().reply <- storeReply{records: core.Records{Rows: rows, Version: version}}
+	l.next().reply <- storeReply{records: core.Records{Rows: rows, Version: core.Version{Number: version}}}
 }
 
 // startedList returns a list that follows the store and holds one server.
@@ -188,7 +188,7 @@
 			case <-ctx.Done():
 				return
 			case c := <-l.feed.calls:
-				c.reply <- storeReply{records: core.Records{Version: version}}
+				c.reply <- storeReply{records: core.Records{Version: core.Version{Number: version}}}
 				time.Sleep(100 * time.Microsecond)
 			}
 		}
@@ -231,11 +231,11 @@
 }
 
 func entry(server string, version uint64) core.Record {
-	return core.Record{Key: server, Value: []byte{1}, Version: version}
+	return core.Record{Key: server, Value: []byte{1}, Version: core.Version{Number: version}}
 }
 
 func removal(server string, version uint64) core.Record {
-	return core.Record{Key: server, Version: version, Removed: true}
+	return core.Record{Key: server, Version: core.Version{Number: version}, Removed: true}
 }
 
 // outages are the ways in which calls fail during an outage, by the time until
@@ -255,12 +255,12 @@
 				lastFailed, back := l.outage(callTakes)
 				left := l.clock.Now() // the store acknowledges the leave
 				if delay > 0 {
-					back.reply <- storeReply{records: core.Records{Version: 1}}
+					back.reply <- storeReply{records: core.Records{Version: core.Version{Number: 1}}}
 					back = l.next()
 					left += delay
 					l.clock.Advance(left - l.clock.Now())
 				}
-				l.answer(back, core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2})
+				l.answer(back, core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: core.Version{Number: 2}})
 				// The outage may have ended at any time after the last failed call.
 				bound := max(left+drainTimeout, lastFailed+contactTime) - connectTime
 				require.LessOrEqual(t, l.lastUse(5*time.Second), bound)
@@ -276,12 +276,12 @@
 	reader, second, third := startedList(t, clock), startedList(t, clock), startedList(t, clock)
 	lastFailed, back := reader.outage(0)
 	left := clock.Now()
-	back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+	back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: core.Version{Number: 2}}}
 	reader.next()
 	clock.Advance(400 * time.Millisecond)
-	require.True(t, second.mirror.Merge(reader.mirror.Snapshot(1)))
+	require.True(t, second.mirror.Merge(reader.mirror.Snapshot(core.Version{Number: 1})))
 	clock.Advance(400 * time.Millisecond)
-	require.True(t, third.mirror.Merge(second.mirror.Snapshot(0)))
+	require.True(t, third.mirror.Merge(second.mirror.Snapshot(core.Version{})))
 	bound := max(left+drainTimeout, lastFailed+contactTime) - connectTime
 	require.LessOrEqual(t, third.lastUse(5*time.Second), bound)
 	require.False(t, second.uses())
@@ -296,10 +296,10 @@
 	stop := reader.keepAnswering(1)
 	cutOff.outage(0)
 	stop()
-	reader.answer(reader.next(), core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2})
-	require.True(t, cutOff.mirror.Merge(reader.mirror.Snapshot(1)))
+	reader.answer(reader.next(), core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: core.Version{Number: 2}})
+	require.True(t, cutOff.mirror.Merge(reader.mirror.Snapshot(core.Version{Number: 1})))
 	require.False(t, cutOff.uses())
-	require.True(t, third.mirror.Merge(cutOff.mirror.Snapshot(1)))
+	require.True(t, third.mirror.Merge(cutOff.mirror.Snapshot(core.Version{Number: 1})))
 	require.False(t, third.uses())
 }
 
@@ -311,12 +311,12 @@
 		renewed := map[string]time.Duration{"refused": 1400 * time.Millisecond, "silent": 900 * time.Millisecond}[name]
 		l := startedList(t, timer.NewManual())
 		_, back := l.outage(callTakes)
-		back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+		back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: core.Version{Number: 2}}}
 		back = l.next()
 		for until := l.clock.Now() + renewed; l.clock.Now() < until; l.clock.Advance(10 * time.Millisecond) {
 			require.True(t, l.uses(), name)
 		}
-		l.answer(back, core.Records{Rows: []core.Record{entry("i-1", 3)}, Version: 3})
+		l.answer(back, core.Records{Rows: []core.Record{entry("i-1", 3)}, Version: core.Version{Number: 3}})
 		l.clock.Advance(10 * time.Second)
 		l.view.Tick()
 		require.True(t, l.uses(), name)
@@ -334,7 +334,7 @@
 		_, back := l.outage(callTakes)
 		long := l.clock.Now()-began > 2250*time.Millisecond // one and a half missed heartbeats
 		require.Equal(t, name == "silent", long)
-		back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+		back.reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: core.Version{Number: 2}}}
 		l.next()
 		require.Equal(t, long, l.uses(), name)
 	}
@@ -352,7 +352,7 @@
 			time.Sleep(100 * time.Microsecond)
 		}
 		poll.fail(l.clock, 0)
-		l.next().reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2}}
+		l.next().reply <- storeReply{records: core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: core.Version{Number: 2}}}
 		l.next()
 		require.False(t, l.uses(), "poll that failed after %s", waited)
 	}
@@ -371,7 +371,7 @@
 	}
 	hear(1)
 	began := l.clock.Now()
-	again.reply <- storeReply{records: core.Records{Version: 1}}
+	again.reply <- storeReply{records: core.Records{Version: core.Version{Number: 1}}}
 	for seq := uint64(2); l.clock.Now() < began+maxSilence; l.clock.Advance(10 * time.Millisecond) {
 		if (l.clock.Now()-began)%(400*time.Millisecond) < 10*time.Millisecond {
 			hear(seq)
@@ -379,7 +379,7 @@
 		}
 		select {
 		case c := <-l.feed.calls:
-			require.EqualValues(t, 1, c.after)
+			require.EqualValues(t, 1, c.after.Number)
 			return
 		case <-time.After(time.Millisecond):
 		}
@@ -394,9 +394,9 @@
 	l.start(1, "i-1")
 	for began := l.clock.Now(); l.clock.Now() < began+4*time.Second; {
 		l.next().fail(l.clock, 0)
-		l.mirror.Confirm(1, 50*time.Millisecond)
+		l.mirror.Confirm(core.Version{Number: 1}, 50*time.Millisecond)
 	}
-	l.answer(l.next(), core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: 2})
+	l.answer(l.next(), core.Records{Rows: []core.Record{removal("i-1", 2)}, Version: core.Version{Number: 2}})
 	require.False(t, l.uses())
 }
 
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -52,19 +52,19 @@
 	leaves    chan struct{} // a server has said that it leaves; wakes runNews
 	invalid   map[core.FeedTable]*invalidEntries
 
-	mu        sync.Mutex
-	evacuated map[core.DomainID]bool
+	evacuations *evacuations
 }
 
 func newClusterState(
 	cfg Config, t core.Timer, feed core.Feed, limiter *quota.Limiter, members *gossip.Members, m *metric.Metrics,
 ) *clusterState {
-	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, evacuated: make(map[core.DomainID]bool), changed: make(chan struct{}, 1), confirmed: make(chan struct{}, 1), leaves: make(chan struct{}, 1)}
+	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, changed: make(chan struct{}, 1), confirmed: make(chan struct{}, 1), leaves: make(chan struct{}, 1)}
+	w.evacuations = newEvacuations(t, func(domains map[core.DomainID]bool) { w.view.SetEvacuated(domains) })
 	w.invalid = map[core.FeedTable]*invalidEntries{
 		core.FeedOperator: newInvalidEntries(t, m, core.FeedOperator), core.FeedServers: newInvalidEntries(t, m, core.FeedServers),
 	}
 	w.mirrors = map[core.FeedTable]*mirror.Mirror{
-		core.FeedOperator: w.newMirror(t, feed, members, core.FeedOperator, mirror.HoldLimits{}, w.operatorChanged),
+		core.FeedOperator: w.newMirror(t, feed, members, core.FeedOperator, mirror.HoldLimits{Return: operatorRewriteTime}, w.operatorChanged),
 		core.FeedServers:  w.newMirror(t, feed, members, core.FeedServers, holdLimits(cfg.Place), w.serversChanged),
 	}
 	return w
@@ -75,8 +75,11 @@
 ) *mirror.Mirror {
 	return mirror.New(mirror.Config{
 		Table: table, Feed: feed, Timer: t, PollTimeout: longPollWait, FollowsStore: members.FollowsStore,
-		Confirms: members.Confirms, OnConfirm: func() { wake(w.confirmed) }, Holds: holds,
+		Confirms: members.Confirms, ListsFirst: members.ListsFirst, OnConfirm: func() { wake(w.confirmed) }, Holds: holds,
 		OnChange: func(c mirror.Change) {
+			if !c.Replaced.IsZero() {
+				w.logReturn(table, c)
+			}
 			changed(c)
 			if !members.FollowsStore() {
 				return // other hosts learned of it no later than this one
@@ -107,7 +110,7 @@
 // least one change of the servers' table.
 func (w *clusterState) isReady() bool {
 	_, servers := w.mirrors[core.FeedServers].Versions()
-	return w.table.Load() != nil && servers > 0
+	return w.table.Load() != nil && !servers.IsZero()
 }
 
 func (w *clusterState) service(name core.ServiceID) *core.ServiceConfig {
@@ -125,12 +128,6 @@
 }
 
 func (w *clusterState) operatorChanged(c mirror.Change) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	evacuated := make(map[core.DomainID]bool, len(w.evacuated))
-	for d := range w.evacuated {
-		evacuated[d] = true
-	}
 	for _, r := range c.Rows {
 		if w.cfg.Decode.IsRules(r.Key) {
 			if err := recovered(func() error { return w.applyRules(r, sourceName(c)) }); err != nil {
@@ -143,15 +140,38 @@
 		if !ok {
 			continue
 		}
-		w.log.WithFields(logrus.Fields{"event": "evacuate", "domain": domain, "over": r.Removed, "version": r.Version, "source": sourceName(c)}).Info("edge: evacuation changed")
+		hold := c.Holds[r.Key]
+		w.log.WithFields(logrus.Fields{"event": "evacuate", "domain": domain, "over": r.Removed, "hold": hold.Milliseconds(), "version": r.Version, "source": sourceName(c)}).Info("edge: evacuation changed")
+		w.evacuations.set(domain, !r.Removed, hold)
+	}
+	w.evacuations.publish()
+}
+
+// endHeldEvacuations ends the evacuations that the operator has not requested again in
+// time after the store came back without them.
+func (w *clusterState) endHeldEvacuations() {
+	over := w.evacuations.expire()
+	for _, domain := range over {
+		w.log.WithFields(logrus.Fields{"event": "evacuate", "domain": domain, "over": true}).Info("edge: evacuation that the store has lost was not requested again; it is over")
+	}
+	if len(over) > 0 {
+		w.evacuations.publish()
+	}
+}
+
+// logReturn logs that the copy of a table was replaced by the table of a new era of the
+// store, and what that changed.
+func (w *clusterState) logReturn(table core.FeedTable, c mirror.Change) {
+	removed := 0
+	for _, r := range c.Rows {
 		if r.Removed {
-			delete(evacuated, domain)
-		} else {
-			evacuated[domain] = true
+			removed++
 		}
 	}
-	w.evacuated = evacuated
-	w.view.SetEvacuated(evacuated)
+	w.log.WithFields(logrus.Fields{
+		"event": "era", "table": table, "era": c.Version.Era, "version": c.Version, "before": c.Replaced, "source": sourceName(c),
+		"changed": len(c.Rows) - removed, "removed": removed, "held": len(c.Holds),
+	}).Info("edge: table adopted from a new era of the store; newer configurations, evacuations and entries stay in force until they are written again")
 }
 
 // sourceName returns where a change was read, for logs: "store", or the address
--- a/core/feed.go
+++ b/core/feed.go
@@ -20,14 +20,14 @@
 type Record struct {
 	Key     string
 	Value   []byte
-	Version uint64
+	Version Version
 	Removed bool
 }
 
 // Records is the result of a read as of Version of the store.
 type Records struct {
 	Rows    []Record
-	Version uint64
+	Version Version
 	Partial bool // there are more changes than the store returned at once
 }
 
@@ -40,8 +40,9 @@
 	// List returns all rows of a table.
 	List(ctx context.Context, t FeedTable) (Records, error)
 	// Follow returns the changes after a version. If there are none, it
-	// waits for the next one, for at most wait.
-	Follow(ctx context.Context, t FeedTable, after uint64, wait time.Duration) (Records, error)
+	// waits for the next one, for at most wait. A result of a later era than the
+	// version does not have all the changes between them.
+	Follow(ctx context.Context, t FeedTable, after Version, wait time.Duration) (Records, error)
 	// Put writes one row unconditionally.
 	Put(ctx context.Context, t FeedTable, key string, value []byte) error
 	// Era returns the newest era of the store that a response has named, or 0. The
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -58,7 +58,7 @@
 	// StoreDown is set while the host cannot read the platform's store.
 	StoreDown bool
 	// Versions holds the version of the newest change of each followed table.
-	Versions map[core.FeedTable]uint64
+	Versions map[core.FeedTable]core.Version
 	Demand   map[core.WorkspaceID]float64 // requests per second
 	InFlight map[core.ServerID]int        // requests in flight
 	// SpareTokens holds the rate tokens of each workspace that other hosts may
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -326,15 +326,30 @@
 func TestNewestChangeIsFetchedFromOwnDomain(t *testing.T) {
 	f := newFleet(2, 2)
 	for i := range f.hosts {
-		f.hosts[i].Versions = map[core.FeedTable]uint64{core.FeedServers: 7}
+		f.hosts[i].Versions = map[core.FeedTable]core.Version{core.FeedServers: {Number: 7}}
 	}
 	f.run(4 * time.Second)
-	require.Equal(t, []string{"b0", "a0", "a1"}, f.views["b1"].Sources(core.FeedServers, 6))
-	require.Empty(t, f.views["b1"].Sources(core.FeedServers, 7))
-	f.hosts[0].Versions = map[core.FeedTable]uint64{core.FeedServers: 9}
+	require.Equal(t, []string{"b0", "a0", "a1"}, f.views["b1"].Sources(core.FeedServers, core.Version{Number: 6}))
+	require.Empty(t, f.views["b1"].Sources(core.FeedServers, core.Version{Number: 7}))
+	f.hosts[0].Versions = map[core.FeedTable]core.Version{core.FeedServers: {Number: 9}}
 	f.run(time.Second)
-	require.Equal(t, []string{"a0"}, f.views["b1"].Sources(core.FeedServers, 7))
-	require.Equal(t, []string{"b0", "a0", "a1"}, f.views["b1"].Sources(core.FeedServers, 6), "the other host of the domain comes first")
+	require.Equal(t, []string{"a0"}, f.views["b1"].Sources(core.FeedServers, core.Version{Number: 7}))
+	require.Equal(t, []string{"b0", "a0", "a1"}, f.views["b1"].Sources(core.FeedServers, core.Version{Number: 6}), "the other host of the domain comes first")
+}
+
+// Guards against a host that fetches from one that is still in an earlier era of the
+// store, and against one that fetches nothing because the numbers of its era are lower.
+func TestChangesAreFetchedFromTheNewestEra(t *testing.T) {
+	f := newFleet(1, 4)
+	for i, v := range []core.Version{{Era: 1, Number: 90}, {Era: 2, Number: 7}, {Era: 2, Number: 9}, {Number: 95}} {
+		f.hosts[i].Versions = map[core.FeedTable]core.Version{core.FeedServers: v}
+	}
+	f.run(4 * time.Second)
+	require.Equal(t, []string{"a2", "a1"}, f.views["a3"].Sources(core.FeedServers, core.Version{Era: 1, Number: 95}))
+	require.Empty(t, f.views["a0"].Sources(core.FeedServers, core.Version{Era: 2, Number: 9}))
+	for name, first := range map[string]bool{"a0": true, "a1": false, "a3": false} {
+		require.Equal(t, first, f.views[name].ListsFirst(), name)
+	}
 }
 
 // A host that has lent its last tokens must not be asked again before its
--- a/core/gossip/news.go
+++ b/core/gossip/news.go
@@ -20,7 +20,7 @@
 // TableNews says that a copy of a table, whose newest change has a version, holds
 // all changes that the store had acknowledged a time ago.
 type TableNews struct {
-	Newest uint64
+	Newest core.Version
 	Age    time.Duration
 }
 
@@ -41,6 +41,16 @@
 	return v.forwardTargets(now, n.Domain, n.Forwarded)
 }
 
+// ListsFirst reports whether this host is the first of its domain to read the store's
+// tables anew after the store has come back from an older copy. Unlike FollowsStore it
+// does not depend on who could read the store before.
+func (v *Members) ListsFirst() bool {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.isLeader(now)
+}
+
 // Confirms reports whether this host reads the store often and confirms to all others
 // that their copies are complete. That holds if no live host with a lower name can
 // read the store. While hosts do not hear one another, several may do so, or none
--- a/core/gossip/source.go
+++ b/core/gossip/source.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,13 +12,11 @@
 // Sources returns the addresses of the live hosts that report a newer change of a
 // table than a version: those of this host's domain first, then those with the
 // newest change.
-func (v *Members) Sources(t core.FeedTable, after uint64) []string {
-	return v.rankedPeers(func(b *Heartbeat) uint64 {
-		if b.Versions[t] <= after {
-			return 0
-		}
-		return b.Versions[t]
-	})
+func (v *Members) Sources(t core.FeedTable, after core.Version) []string {
+	return v.rankedPeers(
+		func(b *Heartbeat) bool { return after.Before(b.Versions[t]) },
+		func(a, b *Heartbeat) int { return a.Versions[t].Compare(b.Versions[t]) },
+	)
 }
 
 // Lender returns the address of the live host from which to borrow rate tokens
@@ -32,22 +31,22 @@
 // Lenders returns the addresses of the live hosts that have spare tokens of a
 // workspace: those of this host's domain first, then those with the most.
 func (v *Members) Lenders(w core.WorkspaceID) []string {
-	return v.rankedPeers(func(b *Heartbeat) uint64 { return uint64(b.SpareTokens[w]) })
+	return v.rankedPeers(
+		func(b *Heartbeat) bool { return b.SpareTokens[w] > 0 },
+		func(a, b *Heartbeat) int { return cmp.Compare(a.SpareTokens[w], b.SpareTokens[w]) },
+	)
 }
 
-// rankedPeers returns the addresses of the live hosts whose value is not 0: those of
-// this host's domain first, then those with the highest value. Remaining ties go
-// to the lowest name.
-func (v *Members) rankedPeers(value func(*Heartbeat) uint64) []string {
+// rankedPeers returns the addresses of the live hosts that are included: those of this
+// host's domain first, then the highest ones. Remaining ties go to the lowest name.
+func (v *Members) rankedPeers(includes func(*Heartbeat) bool, compare func(a, b *Heartbeat) int) []string {
 	now := v.cfg.Timer.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var list []*peer
-	values := make(map[core.HostID]uint64)
 	for _, p := range v.peers {
-		if n := value(&p.Heartbeat); n > 0 && v.isAlive(now, p) {
+		if includes(&p.Heartbeat) && v.isAlive(now, p) {
 			list = append(list, p)
-			values[p.Host] = n
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -55,8 +54,8 @@
 		if local := a.Domain == v.cfg.Self.Domain; local != (b.Domain == v.cfg.Self.Domain) {
 			return local
 		}
-		if values[a.Host] != values[b.Host] {
-			return values[a.Host] > values[b.Host]
+		if order := compare(&a.Heartbeat, &b.Heartbeat); order != 0 {
+			return order > 0
 		}
 		return a.Host < b.Host
 	})
--- a/core/mirror/confirm.go
+++ b/core/mirror/confirm.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"azurering/core"
 )
 
 const (
@@ -22,7 +24,7 @@
 
 // confirmation says that a copy with a version is complete up to a time.
 type confirmation struct {
-	version uint64
+	version core.Version
 	at      time.Duration
 }
 
@@ -37,14 +39,14 @@
 // Confirm handles the news that a copy of another host, whose newest change has a
 // version, holds all changes that the store had acknowledged a time ago. A
 // copy that has reached that version is as complete.
-func (m *Mirror) Confirm(version uint64, age time.Duration) {
+func (m *Mirror) Confirm(version core.Version, age time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if version < m.newest {
+	if version.Before(m.newest) {
 		return // the news was sent before the newest change
 	}
 	now := m.cfg.Timer.Now()
-	if version <= m.version {
+	if !m.version.Before(version) {
 		m.confirm(now, now-age)
 		return
 	}
@@ -54,15 +56,17 @@
 	}
 }
 
-// settle applies the pending confirmations that the copy has reached.
+// settle applies the pending confirmations that the copy has reached. Those of an
+// earlier era say nothing about the copy.
 func (m *Mirror) settle() {
 	now, kept := m.cfg.Timer.Now(), m.pending[:0]
 	for _, c := range m.pending {
-		if c.version <= m.version {
+		switch {
+		case m.version.Before(c.version):
+			kept = append(kept, c)
+		case c.version.Era == m.version.Era:
 			m.confirm(now, c.at)
-			continue
 		}
-		kept = append(kept, c)
 	}
 	m.pending = kept
 }
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -3,7 +3,9 @@
 //
 // A Mirror lists the table once and then follows its changes. While the
 // store is unreachable, the copy stays as it is, and a newer copy from another
-// host can be adopted.
+// host can be adopted. When the store has come back from an older copy of its
+// content, the changes after the mirror's version no longer lead to the store's
+// content, and the table is listed again.
 package mirror
 
 import (
@@ -63,6 +65,10 @@
 	// Confirms reports whether this host confirms to the others that their copies
 	// are complete. Its calls wait for confirmWait only. Nil means that it never does.
 	Confirms func() bool
+	// ListsFirst reports whether this host lists the table at once after the store has
+	// come back from an older copy. The others wait for the copy of that host. Nil means
+	// that it always does.
+	ListsFirst func() bool
 	// OnConfirm is called after a read of the store has shown that the copy is
 	// complete. Nil is allowed. It must not call the Mirror.
 	OnConfirm func()
@@ -72,12 +78,13 @@
 }
 
 // HoldLimits bounds how long a removed row is held because it may only have
-// expired during an outage of the store. Owners also remove rows for good, which
-// looks the same.
+// expired during an outage of the store, or is missing in the older copy from which
+// the store has come back. Owners also remove rows for good, which looks the same.
 type HoldLimits struct {
 	MinOutage time.Duration // the shortest outage during which rows expire
 	Removal   time.Duration // the longest time after this host has read the removal
 	Outage    time.Duration // the longest time after the end of the outage
+	Return    time.Duration // the time after this host has adopted a table without the row, in a new era
 }
 
 // Change holds the rows that changed in one step.
@@ -85,16 +92,21 @@
 	Rows []core.Record
 	// Holds has the removed rows that may only have expired during an outage
 	// of the store, and how much longer their owners may renew them.
-	Holds  map[string]time.Duration
-	Source string // address of the host whose copy was merged; empty for the store
+	Holds   map[string]time.Duration
+	Source  string       // address of the host whose copy was merged; empty for the store
+	Version core.Version // version of the copy after the step
+	// Replaced is the version of the copy before the step if the step was the first
+	// one in a new era of the store, or zero. The changes from it to the content of
+	// the new era include what the store has lost.
+	Replaced core.Version
 }
 
 // Snapshot is the content of a mirror, or the changes after version After.
 type Snapshot struct {
 	Rows    []core.Record
-	After   uint64                   // 0 for the whole content
-	Version uint64                   // version of the store up to which the copy is complete
-	Newest  uint64                   // version of the newest change
+	After   core.Version             // zero for the whole content
+	Version core.Version             // version of the store up to which the copy is complete
+	Newest  core.Version             // version of the newest change
 	Holds   map[string]time.Duration // as in Change
 	Source  string                   // address of the host that sent it; empty in a copy of this host
 }
@@ -106,10 +118,12 @@
 	mu           sync.Mutex
 	rows         map[string]core.Record
 	history      []core.Record // newest changes, oldest first
-	historyStart uint64        // history holds all changes after this version
-	version      uint64        // the copy holds all changes up to it; it never decreases
-	mustList     bool          // the store has dropped the changes after version
-	newest       uint64
+	historyStart core.Version  // history holds all changes after this version
+	version      core.Version  // the copy holds all changes up to it; it never decreases
+	mustList     bool          // the store does not have the changes after version
+	era          uint64        // the newest era of the store that this host knows from it
+	listAt       time.Duration // until then a host that does not list first waits for the copy of one that does
+	newest       core.Version
 	failing      bool                     // the last call failed
 	failingSince time.Duration            // end of the first call that failed
 	lastOut      time.Duration            // latest time at which the store is known to have been unreachable
@@ -130,8 +144,8 @@
 
 // Versions returns the version up to which the copy is complete, and the
 // version of its newest change, or a later one if only a listing showed the
-// change. Both are 0 before the first read.
-func (m *Mirror) Versions() (asOf, change uint64) {
+// change. Both are zero before the first read.
+func (m *Mirror) Versions() (asOf, change core.Version) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.version, m.newest
@@ -145,15 +159,16 @@
 }
 
 // Snapshot returns the changes after a version, or the whole content if after is
-// 0 or the history does not reach back that far.
-func (m *Mirror) Snapshot(after uint64) Snapshot {
+// zero or the history does not reach back that far. No history reaches back into an
+// earlier era.
+func (m *Mirror) Snapshot(after core.Version) Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := Snapshot{Version: m.version, Newest: m.newest, Holds: m.holdsLeft()}
-	if after > 0 && after >= m.historyStart {
+	if !after.IsZero() && !after.Before(m.historyStart) {
 		c.After = after
 		for _, r := range m.history {
-			if r.Version > after {
+			if after.Before(r.Version) {
 				c.Rows = append(c.Rows, r)
 			}
 		}
@@ -172,25 +187,41 @@
 	m.changedMu.Lock()
 	defer m.changedMu.Unlock()
 	m.mu.Lock()
+	before := m.version
 	changes, ok := m.apply(c.After, core.Records{Rows: c.Rows, Version: c.Version})
 	if !ok {
 		m.mu.Unlock()
 		return false
 	}
-	m.newest = max(m.newest, c.Newest)
+	m.newest = m.newest.Max(c.Newest)
 	now := m.cfg.Timer.Now()
-	m.recordHolds(changes, func(key string) time.Duration { return now + c.Holds[key] })
-	change := Change{Rows: changes, Holds: m.holdsLeft(), Source: c.Source}
+	change := m.newChange(before, changes, c.Source)
+	m.recordHolds(changes, func(key string) time.Duration {
+		if left, ok := c.Holds[key]; ok || change.Replaced.IsZero() {
+			return now + left
+		}
+		return now + m.cfg.Holds.Return // the other host did not have the row before
+	})
+	change.Holds = m.holdsLeft()
 	if m.cancel != nil {
 		m.cancel(nil)
 	}
 	m.mu.Unlock()
-	if len(changes) > 0 {
+	if len(changes) > 0 || !change.Replaced.IsZero() {
 		m.cfg.OnChange(change)
 	}
 	return true
 }
 
+// newChange describes a step from a version to the current one.
+func (m *Mirror) newChange(before core.Version, rows []core.Record, source string) Change {
+	c := Change{Rows: rows, Source: source, Version: m.version}
+	if !before.IsZero() && before.Era < m.version.Era {
+		c.Replaced = before
+	}
+	return c
+}
+
 // Run lists and follows the table until ctx is done. It must be called only
 // once at a time.
 func (m *Mirror) Run(ctx context.Context) {
@@ -229,8 +260,13 @@
 // itself.
 func (m *Mirror) readsStore() bool {
 	m.mu.Lock()
-	must := m.version == 0 || m.mustList || m.failing || m.isStale(maxAge)
+	m.noteEra()
+	waits := m.mustList && m.cfg.Timer.Now() < m.listAt
+	must := m.version.IsZero() || m.mustList || m.failing || m.isStale(maxAge)
 	m.mu.Unlock()
+	if waits {
+		return m.cfg.ListsFirst == nil || m.cfg.ListsFirst()
+	}
 	return must || m.follows()
 }
 
@@ -246,7 +282,7 @@
 	start := m.cfg.Timer.Now()
 	from, after, request := m.version, m.version, call
 	if m.mustList {
-		after = 0
+		after = core.Version{}
 	}
 	if m.failing || m.isStale(maxFollowerAge) {
 		// Detect an outage and its end at once.
@@ -255,11 +291,11 @@
 	if wait == 0 && (!m.failing || start < m.failingSince+probePeriod) {
 		request = m.cancelAfter(call, probeTimeout)
 	}
-	m.cancel, m.waiting = cancel, after > 0 && wait > 0
+	m.cancel, m.waiting = cancel, !after.IsZero() && wait > 0
 	m.mu.Unlock()
 	var got core.Records
 	var err error
-	if after == 0 {
+	if after.IsZero() {
 		got, err = m.cfg.Feed.List(call, m.cfg.Table)
 	} else {
 		got, err = m.cfg.Feed.Follow(request, m.cfg.Table, after, wait)
@@ -274,8 +310,12 @@
 	case len(got.Rows) == 0 && m.cfg.Timer.Now() >= start+wait:
 		complete = start + wait // the store has answered at the end of the wait
 	}
-	if got.Version < from {
-		return codes.New(codes.StoreDown, "mirror: store answered from version %d, which is older than version %d of the copy", got.Version, from)
+	switch {
+	case got.Version.Before(from):
+		return codes.New(codes.StoreDown, "mirror: store answered from version %s, which is older than version %s of the copy", got.Version, from)
+	case !after.IsZero() && got.Version.Era > after.Era:
+		m.handleReturn()
+		return nil
 	}
 	m.applyResponse(after, complete, got)
 	return nil
@@ -308,6 +348,8 @@
 	if codes.Is(err, codes.StoreAbsent) {
 		// The rows stay valid; the next call lists the table.
 		m.mustList = true
+		m.recordReached()
+		m.noteEra()
 		return nil
 	}
 	now := m.cfg.Timer.Now()
@@ -320,24 +362,34 @@
 	return err
 }
 
+// recordReached records that the store has answered.
+func (m *Mirror) recordReached() {
+	if m.failing {
+		m.failing = false
+		m.cfg.OnStoreState(nil)
+	}
+}
+
 // applyResponse applies the response of a call that was made at version after. The
 // response holds all changes that the store had acknowledged by a time, or 0 if that
 // is not known.
-func (m *Mirror) applyResponse(after uint64, complete time.Duration, got core.Records) {
+func (m *Mirror) applyResponse(after core.Version, complete time.Duration, got core.Records) {
 	m.changedMu.Lock()
 	defer m.changedMu.Unlock()
 	m.mu.Lock()
-	now := m.cfg.Timer.Now()
-	if m.failing {
-		m.failing = false
-		m.cfg.OnStoreState(nil)
-	}
+	now, before := m.cfg.Timer.Now(), m.version
+	m.recordReached()
 	m.confirm(now, complete)
 	changes, _ := m.apply(after, got)
-	m.recordHolds(changes, func(string) time.Duration { return m.holdUntil(now) })
-	change := Change{Rows: changes, Holds: m.holdsLeft()}
+	change := m.newChange(before, changes, "")
+	until := m.holdUntil(now)
+	if !change.Replaced.IsZero() {
+		until = now + m.cfg.Holds.Return
+	}
+	m.recordHolds(changes, func(string) time.Duration { return until })
+	change.Holds = m.holdsLeft()
 	m.mu.Unlock()
-	if len(changes) > 0 || after == 0 {
+	if len(changes) > 0 || after.IsZero() {
 		m.cfg.OnChange(change)
 	}
 	if m.cfg.OnConfirm != nil {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -19,10 +19,12 @@
 type fakeFeed struct {
 	mu        sync.Mutex
 	responses []response
-	versions  []uint64        // version of each call to Follow; 0 for a call to List
+	versions  []core.Version  // version of each call to Follow; zero for a call to List
 	waits     []time.Duration // of each call to Follow
 	causes    []error         // why calls without a response ended
-	idle      chan struct{}   // receives a value when no response is left
+	// era returns the newest era of the store after a number of calls. Nil means 0.
+	era  func(calls int) uint64
+	idle chan struct{} // receives a value when no response is left
 }
 
 type response struct {
@@ -30,7 +32,7 @@
 	err     error
 }
 
-func (f *fakeFeed) next(ctx context.Context, after uint64) (core.Records, error) {
+func (f *fakeFeed) next(ctx context.Context, after core.Version) (core.Records, error) {
 	f.mu.Lock()
 	f.versions = append(f.versions, after)
 	if len(f.responses) > 0 {
@@ -52,10 +54,10 @@
 }
 
 func (f *fakeFeed) List(ctx context.Context, _ core.FeedTable) (core.Records, error) {
-	return f.next(ctx, 0)
+	return f.next(ctx, core.Version{})
 }
 
-func (f *fakeFeed) Follow(ctx context.Context, _ core.FeedTable, after uint64, wait time.Duration) (core.Records, error) {
+func (f *fakeFeed) Follow(ctx context.Context, _ core.FeedTable, after core.Version, wait time.Duration) (core.Records, error) {
 	f.mu.Lock()
 	f.waits = append(f.waits, wait)
 	f.mu.Unlock()
@@ -64,7 +66,14 @@
 
 func (f *fakeFeed) Put(context.Context, core.FeedTable, string, []byte) error { return nil }
 
-func (f *fakeFeed) Era() uint64 { return 0 }
+func (f *fakeFeed) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.era == nil {
+		return 0
+	}
+	return f.era(len(f.versions))
+}
 
 type event struct {
 	key     string
@@ -123,16 +132,27 @@
 	}
 }
 
+// number returns a version of a store that names no eras.
+func number(n uint64) core.Version { return core.Version{Number: n} }
+
+func numbers(all ...uint64) []core.Version {
+	versions := make([]core.Version, 0, len(all))
+	for _, n := range all {
+		versions = append(versions, number(n))
+	}
+	return versions
+}
+
 func row(key string, version uint64) core.Record {
-	return core.Record{Key: key, Value: []byte{1}, Version: version}
+	return core.Record{Key: key, Value: []byte{1}, Version: number(version)}
 }
 
 func removal(key string, version uint64) core.Record {
-	return core.Record{Key: key, Version: version, Removed: true}
+	return core.Record{Key: key, Version: number(version), Removed: true}
 }
 
 func records(version uint64, rows ...core.Record) response {
-	return response{records: core.Records{Rows: rows, Version: version}}
+	return response{records: core.Records{Rows: rows, Version: number(version)}}
 }
 
 // Changes must be followed from the version of the listing on. From an
@@ -141,10 +161,10 @@
 func TestFollowsFromTheList(t *testing.T) {
 	l := newFixture(records(10, row("a", 3), row("b", 4)), records(12, row("a", 12)), records(15, removal("b", 15)))
 	l.run(t)
-	require.Equal(t, []uint64{0, 10, 12, 15}, l.feed.versions)
+	require.Equal(t, numbers(0, 10, 12, 15), l.feed.versions)
 	asOf, change := l.mirror.Versions()
-	require.EqualValues(t, 15, asOf)
-	require.EqualValues(t, 15, change)
+	require.Equal(t, number(15), asOf)
+	require.Equal(t, number(15), change)
 	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "a"}, {key: "b", removed: true}}, l.events)
 }
 
@@ -155,7 +175,7 @@
 	dropped := response{err: codes.New(codes.StoreAbsent, "gone")}
 	l := newFixture(records(10, row("a", 3), row("b", 4)), dropped, records(30, row("a", 3), row("c", 25)))
 	l.run(t)
-	require.Equal(t, []uint64{0, 10, 0, 30}, l.feed.versions)
+	require.Equal(t, numbers(0, 10, 0, 30), l.feed.versions)
 	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "c"}, {key: "b", removed: true}}, l.events)
 }
 
@@ -168,10 +188,10 @@
 	l := newFixture(records(10, row("a", 3), row("b", 4)), dropped, records(30, row("a", 3)))
 	l.run(t)
 	_, change := l.mirror.Versions()
-	require.Greater(t, change, uint64(10))
+	require.Positive(t, change.Compare(number(10)))
 	other := newFixture(records(10, row("a", 3), row("b", 4)))
 	other.run(t)
-	require.True(t, other.mirror.Merge(l.mirror.Snapshot(10)))
+	require.True(t, other.mirror.Merge(l.mirror.Snapshot(number(10))))
 	require.Equal(t, event{key: "b", removed: true}, other.events[2])
 }
 
@@ -200,8 +220,8 @@
 	down := response{err: codes.New(codes.StoreLimit, "busy")}
 	l := newFixture(records(10, row("a", 3)), down, down, records(11, row("b", 11)))
 	l.run(t)
-	require.Equal(t, []uint64{0, 10, 10, 10, 11}, l.feed.versions)
-	require.Len(t, l.mirror.Snapshot(0).Rows, 2)
+	require.Equal(t, numbers(0, 10, 10, 10, 11), l.feed.versions)
+	require.Len(t, l.mirror.Snapshot(core.Version{}).Rows, 2)
 }
 
 // A host that cannot read the store adopts copies from other hosts. An older
@@ -210,13 +230,13 @@
 func TestAdoptsOnlyNewerCopies(t *testing.T) {
 	l := newFixture(records(10, row("a", 3), row("b", 4)))
 	l.run(t)
-	require.False(t, l.mirror.Merge(mirror.Snapshot{Version: 9, Newest: 9, Rows: []core.Record{row("z", 9)}}))
-	require.True(t, l.mirror.Merge(mirror.Snapshot{Version: 20, Newest: 18, Rows: []core.Record{row("a", 18)}}))
+	require.False(t, l.mirror.Merge(mirror.Snapshot{Version: number(9), Newest: number(9), Rows: []core.Record{row("z", 9)}}))
+	require.True(t, l.mirror.Merge(mirror.Snapshot{Version: number(20), Newest: number(18), Rows: []core.Record{row("a", 18)}}))
 	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "a"}, {key: "b", removed: true}}, l.events)
 	l.feed.responses = []response{records(25, row("c", 25))}
 	l.feed.versions = nil
 	l.run(t)
-	require.Equal(t, []uint64{20, 25}, l.feed.versions)
+	require.Equal(t, numbers(20, 25), l.feed.versions)
 }
 
 // A change that arrives late must not undo a newer one of the same row.
@@ -234,7 +254,7 @@
 	from.run(t)
 	to := newFixture(records(10, row("a", 3), row("b", 4)))
 	to.run(t)
-	changes := from.mirror.Snapshot(10)
+	changes := from.mirror.Snapshot(number(10))
 	require.Equal(t, []core.Record{row("a", 12), removal("b", 15)}, changes.Rows)
 	require.True(t, to.mirror.Merge(changes))
 	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "a"}, {key: "b", removed: true}}, to.events)
@@ -242,11 +262,11 @@
 
 	behind := newFixture(records(5, row("a", 3)))
 	behind.run(t)
-	require.False(t, behind.mirror.Merge(from.mirror.Snapshot(12)), "changes between 5 and 12 are missing")
-	whole := from.mirror.Snapshot(5) // before the start of the history: the whole content
+	require.False(t, behind.mirror.Merge(from.mirror.Snapshot(number(12))), "changes between 5 and 12 are missing")
+	whole := from.mirror.Snapshot(number(5)) // before the start of the history: the whole content
 	require.Zero(t, whole.After)
 	require.True(t, behind.mirror.Merge(whole))
-	require.Len(t, behind.mirror.Snapshot(0).Rows, 1)
+	require.Len(t, behind.mirror.Snapshot(core.Version{}).Rows, 1)
 	empty := newFixture()
 	require.False(t, empty.mirror.Merge(changes), "changes without the content before them")
 }
@@ -258,7 +278,7 @@
 	l := newFixture(records(10, row("a", 3)), records(20, row("b", 16), removal("b", 18), row("a", 20)))
 	l.run(t)
 	require.Equal(t, []event{{key: "a"}, {key: "b", removed: true}, {key: "a"}}, l.events)
-	late := mirror.Snapshot{Rows: []core.Record{row("b", 16), removal("b", 18), row("c", 25)}, After: 15, Version: 25, Newest: 25}
+	late := mirror.Snapshot{Rows: []core.Record{row("b", 16), removal("b", 18), row("c", 25)}, After: number(15), Version: number(25), Newest: number(25)}
 	require.True(t, l.mirror.Merge(late))
 	require.Equal(t, event{key: "c"}, l.events[3])
 	require.Len(t, l.events, 4)
@@ -280,18 +300,18 @@
 		defer close(done)
 		l.mirror.Run(ctx)
 	}()
-	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf == 10 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { asOf, _ := l.mirror.Versions(); return asOf == number(10) }, 10*time.Second, time.Millisecond)
 	for range 50 {
 		l.clock.Advance(100 * time.Millisecond)
-		l.mirror.Confirm(10, 0)
+		l.mirror.Confirm(number(10), 0)
 		time.Sleep(100 * time.Microsecond)
 	}
 	cancel()
 	<-done
-	require.Equal(t, []uint64{0}, l.feed.versions)
+	require.Equal(t, numbers(0), l.feed.versions)
 	follows = true
 	l.run(t)
-	require.Equal(t, []uint64{0, 10, 11}, l.feed.versions)
+	require.Equal(t, numbers(0, 10, 11), l.feed.versions)
 }
 
 // The end of an outage must be detected at once, not with the next change.
@@ -313,7 +333,7 @@
 	l.run(t)
 	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "b", removed: true}, {key: "c"}}, l.events)
 	asOf, _ := l.mirror.Versions()
-	require.EqualValues(t, 30, asOf)
+	require.Equal(t, number(30), asOf)
 }
 
 // Guards against the same through the copy of another host, which is taken while
@@ -323,7 +343,7 @@
 	down := response{err: codes.New(codes.StoreDown, "down")}
 	l := newFixture(records(10, row("a", 3), row("b", 4)), records(20, removal("b", 20)), dropped, down)
 	l.run(t)
-	require.False(t, l.mirror.Merge(mirror.Snapshot{Version: 15, Newest: 10, Rows: []core.Record{row("a", 3), row("b", 4)}}))
+	require.False(t, l.mirror.Merge(mirror.Snapshot{Version: number(15), Newest: number(10), Rows: []core.Record{row("a", 3), row("b", 4)}}))
 	require.Equal(t, []event{{key: "a"}, {key: "b"}, {key: "b", removed: true}}, l.events)
 }
 
@@ -337,9 +357,9 @@
 	}
 	l := newFixture(append(responses, records(61, removal("b", 61)))...)
 	l.run(t)
-	require.Equal(t, []core.Record{row("config", 60), removal("b", 61)}, l.mirror.Snapshot(10).Rows)
-	require.Equal(t, []core.Record{row("config", 60), removal("b", 61)}, l.mirror.Snapshot(40).Rows)
-	require.Equal(t, []core.Record{removal("b", 61)}, l.mirror.Snapshot(60).Rows)
+	require.Equal(t, []core.Record{row("config", 60), removal("b", 61)}, l.mirror.Snapshot(number(10)).Rows)
+	require.Equal(t, []core.Record{row("config", 60), removal("b", 61)}, l.mirror.Snapshot(number(40)).Rows)
+	require.Equal(t, []core.Record{removal("b", 61)}, l.mirror.Snapshot(number(60)).Rows)
 }
 
 // Guards against a copy that counts as complete after a response that had room for a
@@ -376,7 +396,7 @@
 		return append([]error(nil), l.feed.causes...)
 	}
 	<-l.feed.idle // the call waits for changes
-	require.True(t, l.mirror.Merge(mirror.Snapshot{After: 10, Rows: []core.Record{row("a", 11)}, Version: 11, Newest: 11}))
+	require.True(t, l.mirror.Merge(mirror.Snapshot{After: number(10), Rows: []core.Record{row("a", 11)}, Version: number(11), Newest: number(11)}))
 	require.Eventually(t, func() bool { return len(causes()) == 1 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, []error{context.Canceled}, causes())
 	<-l.feed.idle
--- a/io/beacon/heartbeat.go
+++ b/io/beacon/heartbeat.go
@@ -22,9 +22,9 @@
 	Count    uint64
 	Ready    bool
 	Lost     bool
-	Age      int64  // milliseconds
-	Operator uint64 // version of the newest change of the operators' table
-	Servers  uint64 // version of the newest change of the servers' table
+	Age      int64       // milliseconds
+	Operator versionWire // newest change of the operators' table
+	Servers  versionWire // newest change of the servers' table
 	Demand   map[string]float32
 	InFlight map[string]uint16
 	Spare    map[string]uint16
@@ -103,7 +103,7 @@
 	w := heartbeatWire{
 		Host: string(b.Host), Domain: string(b.Domain), Address: b.Address, Boot: b.StartedMs, Count: b.Seq, Ready: b.Ready,
 		Lost: b.StoreDown, Age: b.Age.Milliseconds(),
-		Operator: b.Versions[core.FeedOperator], Servers: b.Versions[core.FeedServers],
+		Operator: versionWire(b.Versions[core.FeedOperator]), Servers: versionWire(b.Versions[core.FeedServers]),
 		Demand: demandToWire(b.Demand), InFlight: inFlightToWire(b.InFlight), Spare: make(map[string]uint16, len(b.SpareTokens)),
 	}
 	for name, n := range b.SpareTokens {
@@ -120,7 +120,7 @@
 	b := gossip.Heartbeat{
 		Host: core.HostID(w.Host), Domain: core.DomainID(w.Domain), Address: w.Address, StartedMs: w.Boot, Seq: w.Count, Ready: w.Ready,
 		StoreDown: w.Lost, Age: duration(w.Age),
-		Versions: map[core.FeedTable]uint64{core.FeedOperator: w.Operator, core.FeedServers: w.Servers},
+		Versions: map[core.FeedTable]core.Version{core.FeedOperator: core.Version(w.Operator), core.FeedServers: core.Version(w.Servers)},
 		Demand:   demand, InFlight: inFlightFromWire(w.InFlight), SpareTokens: make(map[core.WorkspaceID]int, len(w.Spare)),
 	}
 	for name, n := range w.Spare {
--- a/io/beacon/heartbeat_test.go
+++ b/io/beacon/heartbeat_test.go
@@ -18,7 +18,7 @@
 func TestDigestComesBackWhole(t *testing.T) {
 	d := gossip.Digest{Domain: "a", Forwarded: true, Heartbeats: []gossip.Heartbeat{{
 		Host: "h", Domain: "a", Address: "10.0.0.1", StartedMs: 7, Seq: 9, Ready: true, StoreDown: true, Age: 120 * time.Millisecond,
-		Versions:    map[core.FeedTable]uint64{core.FeedOperator: 3, core.FeedServers: 4},
+		Versions:    map[core.FeedTable]core.Version{core.FeedOperator: {Number: 3}, core.FeedServers: {Number: 4}},
 		Demand:      map[core.WorkspaceID]float64{"w": 2.5},
 		InFlight:    map[core.ServerID]int{"s": 2},
 		SpareTokens: map[core.WorkspaceID]int{"w": 4},
@@ -56,7 +56,7 @@
 	full := func(n int) gossip.Heartbeat {
 		b := gossip.Heartbeat{
 			Host: core.HostID(fmt.Sprintf("edge-%04d", n)), Domain: "a", Address: fmt.Sprintf("10.0.%d.%d", n/250, n%250), StartedMs: 1 << 40, Seq: 7,
-			Ready: true, Versions: map[core.FeedTable]uint64{core.FeedOperator: 1 << 30, core.FeedServers: 1 << 30},
+			Ready: true, Versions: map[core.FeedTable]core.Version{core.FeedOperator: {Number: 1 << 30}, core.FeedServers: {Number: 1 << 30}},
 			Demand: make(map[core.WorkspaceID]float64), InFlight: make(map[core.ServerID]int), SpareTokens: make(map[core.WorkspaceID]int),
 		}
 		for w := range 500 {
--- a/io/beacon/news.go
+++ b/io/beacon/news.go
@@ -24,7 +24,7 @@
 // tableNewsWire is the encoded form of the news of one table.
 type tableNewsWire struct {
 	_      struct{} `cbor:",toarray"`
-	Newest uint64
+	Newest versionWire
 	Age    int64 // milliseconds
 }
 
@@ -34,7 +34,7 @@
 func (b *Transport) SendNews(n gossip.News, addresses []string) error {
 	w := newsWire{Domain: string(n.Domain), Passed: n.Forwarded, Tables: make(map[string]tableNewsWire, len(n.Tables)), Leaving: make(map[string]int64, len(n.Leaving))}
 	for table, t := range n.Tables {
-		w.Tables[string(table)] = tableNewsWire{Newest: t.Newest, Age: t.Age.Milliseconds()}
+		w.Tables[string(table)] = tableNewsWire{Newest: versionWire(t.Newest), Age: t.Age.Milliseconds()}
 	}
 	for id, started := range n.Leaving {
 		w.Leaving[string(id)] = started
@@ -69,7 +69,7 @@
 		Tables: make(map[core.FeedTable]gossip.TableNews, len(w.Tables)), Leaving: make(map[core.ServerID]int64, len(w.Leaving)),
 	}
 	for table, t := range w.Tables {
-		n.Tables[core.FeedTable(table)] = gossip.TableNews{Newest: t.Newest, Age: duration(t.Age)}
+		n.Tables[core.FeedTable(table)] = gossip.TableNews{Newest: core.Version(t.Newest), Age: duration(t.Age)}
 	}
 	for id, started := range w.Leaving {
 		n.Leaving[core.ServerID(id)] = started
--- a/io/beacon/news_test.go
+++ b/io/beacon/news_test.go
@@ -41,7 +41,7 @@
 	listen("127.9.3.3")
 	sent := gossip.News{
 		Domain:  "d",
-		Tables:  map[core.FeedTable]gossip.TableNews{core.FeedServers: {Newest: 7, Age: 40 * time.Millisecond}},
+		Tables:  map[core.FeedTable]gossip.TableNews{core.FeedServers: {Newest: core.Version{Number: 7}, Age: 40 * time.Millisecond}},
 		Leaving: map[core.ServerID]int64{"i-1": 1000},
 	}
 	require.NoError(t, sender.SendNews(sent, []string{"127.9.3.2"}))
--- a/io/beacon/snapshot.go
+++ b/io/beacon/snapshot.go
@@ -32,7 +32,7 @@
 	copyPart = 4 << 10
 )
 
-// recordWire is the encoded form of a core.Record.
+// recordWire is the encoded form of a core.Record. Its era is that of the copy.
 type recordWire struct {
 	_       struct{} `cbor:",toarray"`
 	Key     string
@@ -48,9 +48,9 @@
 type snapshotWire struct {
 	_      struct{} `cbor:",toarray"`
 	Rows   []recordWire
-	After  uint64
-	AsOf   uint64
-	Change uint64
+	After  versionWire
+	AsOf   versionWire
+	Change versionWire
 	Lapsed bool
 }
 
@@ -63,7 +63,7 @@
 
 // copyKey tells the copies of a table apart.
 type copyKey struct {
-	after, asOf, change uint64
+	after, asOf, change core.Version
 	lapsed, packed      bool
 }
 
@@ -106,7 +106,7 @@
 }
 
 // SnapshotHandler serves copies of tables to other hosts. The query parameter
-// "after" limits a copy to the changes after a version.
+// "after", with "era", limits a copy to the changes after a version.
 func SnapshotHandler(tables map[core.FeedTable]*mirror.Mirror) http.Handler {
 	g := gin.New()
 	caches := make(map[core.FeedTable]*copyCache, len(tables))
@@ -124,7 +124,11 @@
 			return // Accept has written the response
 		}
 		defer func() { _ = socket.CloseNow() }()
-		after, _ := strconv.ParseUint(c.Query("after"), 10, 64) // 0, also if missing or malformed, means the whole table
+		// Zero, also if missing or malformed, means the whole table. Hosts of earlier
+		// builds name no era.
+		var after core.Version
+		after.Number, _ = strconv.ParseUint(c.Query("after"), 10, 64)
+		after.Era, _ = strconv.ParseUint(c.Query("era"), 10, 64)
 		snapshot := m.Snapshot(after)
 		raw, err := caches[core.FeedTable(c.Param("table"))].encode(snapshot, socket.Subprotocol() == packedProtocol)
 		if err != nil {
@@ -201,9 +205,9 @@
 }
 
 func encodeSnapshot(c mirror.Snapshot) ([]byte, error) {
-	w := snapshotWire{After: c.After, AsOf: c.Version, Change: c.Newest, Lapsed: len(c.Holds) > 0, Rows: make([]recordWire, 0, len(c.Rows))}
+	w := snapshotWire{After: versionWire(c.After), AsOf: versionWire(c.Version), Change: versionWire(c.Newest), Lapsed: len(c.Holds) > 0, Rows: make([]recordWire, 0, len(c.Rows))}
 	for _, r := range c.Rows {
-		w.Rows = append(w.Rows, recordWire{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+		w.Rows = append(w.Rows, recordWire{Key: r.Key, Value: r.Value, Version: r.Version.Number, Removed: r.Removed})
 	}
 	raw, err := cbor.Marshal(w)
 	return raw, codes.Wrap(err, codes.Internal, "beacon: cannot encode table copy")
@@ -214,9 +218,9 @@
 	Address string
 	Port    int
 	Table   core.FeedTable
-	// After limits the copy to the changes after a version. 0, or a host that does not
+	// After limits the copy to the changes after a version. Zero, or a host that does not
 	// have all the changes, gives the whole table.
-	After uint64
+	After core.Version
 	// OnProgress, if set, is called when the connection is open and whenever a part of
 	// the copy has arrived.
 	OnProgress func()
@@ -231,7 +235,7 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	address := f.Address
-	url := "ws://" + net.JoinHostPort(address, strconv.Itoa(f.Port)) + copyPath + string(f.Table) + "?after=" + strconv.FormatUint(f.After, 10)
+	url := "ws://" + net.JoinHostPort(address, strconv.Itoa(f.Port)) + copyPath + string(f.Table) + "?after=" + strconv.FormatUint(f.After.Number, 10) + "&era=" + strconv.FormatUint(f.After.Era, 10)
 	socket, resp, err := websocket.Dial(ctx, url, &websocket.DialOptions{Subprotocols: []string{packedProtocol}})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -255,7 +259,7 @@
 		return mirror.Snapshot{}, codes.Wrap(errors.WithStack(err), codes.PeerFrame, "beacon: cannot decode table copy")
 	}
 	c := mirror.Snapshot{
-		After: w.After, Version: w.AsOf, Newest: w.Change, Source: address, Rows: make([]core.Record, 0, len(w.Rows)),
+		After: core.Version(w.After), Version: core.Version(w.AsOf), Newest: core.Version(w.Change), Source: address, Rows: make([]core.Record, 0, len(w.Rows)),
 	}
 	if w.Lapsed {
 		if c.Holds, err = readHolds(ctx, socket); err != nil {
@@ -263,7 +267,7 @@
 		}
 	}
 	for _, r := range w.Rows {
-		c.Rows = append(c.Rows, core.Record{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+		c.Rows = append(c.Rows, core.Record{Key: r.Key, Value: r.Value, Version: core.Version{Era: c.Version.Era, Number: r.Version}, Removed: r.Removed})
 	}
 	return c, nil
 }
--- a/io/beacon/snapshot_test.go
+++ b/io/beacon/snapshot_test.go
@@ -48,14 +48,14 @@
 	m := newMirror(timer.NewManual())
 	host, port := serve(t, beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: m}))
 	for version := uint64(1); version <= 3; version++ {
-		row := core.Record{Key: fmt.Sprint("s-", version), Value: []byte("x"), Version: version}
-		require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{row}, After: version - 1, Version: version, Newest: version}))
+		row := core.Record{Key: fmt.Sprint("s-", version), Value: []byte("x"), Version: core.Version{Number: version}}
+		require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{row}, After: core.Version{Number: version - 1}, Version: core.Version{Number: version}, Newest: core.Version{Number: version}}))
 		for range 2 {
-			got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: host, Port: port, Table: core.FeedServers, After: 0})
+			got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: host, Port: port, Table: core.FeedServers, After: core.Version{Number: 0}})
 			require.NoError(t, err)
 			require.Len(t, got.Rows, int(version))
-			require.Equal(t, version, got.Version)
-			got, err = beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: host, Port: port, Table: core.FeedServers, After: version - 1})
+			require.Equal(t, version, got.Version.Number)
+			got, err = beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: host, Port: port, Table: core.FeedServers, After: core.Version{Number: version - 1}})
 			require.NoError(t, err)
 			require.Contains(t, got.Rows, row)
 		}
@@ -68,19 +68,19 @@
 	clock := timer.NewManual()
 	m := newMirror(clock)
 	address, port := serve(t, beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: m}))
-	require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "s", Version: 1}}, Version: 1, Newest: 1}))
+	require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "s", Version: core.Version{Number: 1}}}, Version: core.Version{Number: 1}, Newest: core.Version{Number: 1}}))
 	require.True(t, m.Merge(mirror.Snapshot{
-		Rows: []core.Record{{Key: "s", Version: 2, Removed: true}}, After: 1, Version: 2, Newest: 2, Holds: map[string]time.Duration{"s": time.Second},
+		Rows: []core.Record{{Key: "s", Version: core.Version{Number: 2}, Removed: true}}, After: core.Version{Number: 1}, Version: core.Version{Number: 2}, Newest: core.Version{Number: 2}, Holds: map[string]time.Duration{"s": time.Second},
 	}))
 	for _, left := range []time.Duration{time.Second, 600 * time.Millisecond, 200 * time.Millisecond} {
-		for _, after := range []uint64{0, 1} {
+		for _, after := range []core.Version{{}, {Number: 1}} {
 			got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: after})
 			require.NoError(t, err)
 			require.Equal(t, map[string]time.Duration{"s": left}, got.Holds)
 		}
 		clock.Advance(400 * time.Millisecond)
 	}
-	got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: 1})
+	got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: core.Version{Number: 1}})
 	require.NoError(t, err)
 	require.Empty(t, got.Holds)
 }
@@ -98,15 +98,15 @@
 		_ = socket.Close(websocket.StatusNormalClosure, "")
 	})
 	address, port := serve(t, old)
-	got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: 1})
+	got, err := beacon.FetchSnapshot(t.Context(), beacon.Fetch{Address: address, Port: port, Table: core.FeedServers, After: core.Version{Number: 1}})
 	require.NoError(t, err)
 	require.Len(t, got.Rows, 1)
 	require.Empty(t, got.Holds)
 
 	m := newMirror(timer.NewManual())
-	require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "s", Version: 1}}, Version: 1, Newest: 1}))
+	require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "s", Version: core.Version{Number: 1}}}, Version: core.Version{Number: 1}, Newest: core.Version{Number: 1}}))
 	require.True(t, m.Merge(mirror.Snapshot{
-		Rows: []core.Record{{Key: "s", Version: 2, Removed: true}}, After: 1, Version: 2, Newest: 2, Holds: map[string]time.Duration{"s": time.Second},
+		Rows: []core.Record{{Key: "s", Version: core.Version{Number: 2}, Removed: true}}, After: core.Version{Number: 1}, Version: core.Version{Number: 2}, Newest: core.Version{Number: 2}, Holds: map[string]time.Duration{"s": time.Second},
 	}))
 	address, port = serve(t, beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: m}))
 	socket, resp, err := websocket.Dial(t.Context(), fmt.Sprintf("ws://%s:%d/copy/servers?after=1", address, port), nil)
@@ -127,7 +127,7 @@
 // memory with one that expands without end.
 func TestDamagedCompressedCopyIsRejected(t *testing.T) {
 	m := newMirror(timer.NewManual())
-	require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "s", Value: make([]byte, 100<<10), Version: 1}}, Version: 1, Newest: 1}))
+	require.True(t, m.Merge(mirror.Snapshot{Rows: []core.Record{{Key: "s", Value: make([]byte, 100<<10), Version: core.Version{Number: 1}}}, Version: core.Version{Number: 1}, Newest: core.Version{Number: 1}}))
 	address, port := serve(t, beacon.SnapshotHandler(map[core.FeedTable]*mirror.Mirror{core.FeedServers: m}))
 	socket, resp, err := websocket.Dial(t.Context(), fmt.Sprintf("ws://%s:%d/copy/servers", address, port), &websocket.DialOptions{Subprotocols: []string{"deflate"}})
 	require.NoError(t, err)
