app/edge: register again when the store comes back from an older copy

Their entries in the list of hosts were written once, at the start.

A host now registers again, and reads the list, within 0.5 s of learning of a new era, from the store or from the copies of other hosts. A host that finds nobody else in a store that has had a return counts as alone only after it has read the list again 2 s later, by which time the others have registered; until then it uses the share of one of 50 hosts, as before it has read the list.

--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -25,8 +26,57 @@
 	// hostListRetry is the delay before another attempt to register in the
 	// store's list of hosts and to read it.
 	hostListRetry = 500 * time.Millisecond
+	// eraInterval is the time between two checks whether the store has come back from
+	// an older copy, and registerSpread the time over which the hosts register again.
+	// All of them must be listed within 2 s of the return.
+	eraInterval    = 100 * time.Millisecond
+	registerSpread = 400 * time.Millisecond
+	// relistDelay is how long after a list that names no other host it is read again, if
+	// the store may have lost the others: the time in which they register again.
+	relistDelay = 2 * time.Second
 )
 
+// runRegister registers this host, and again whenever the store has come back from an
+// older copy: its entry is lost if it was written after the copy was made. Hosts that are
+// added later would not find this one, and use what it uses of the limits that all hosts
+// share.
+func (h *host) runRegister(ctx context.Context) {
+	for ctx.Err() == nil {
+		era := h.era()
+		h.register(ctx)
+		h.awaitEra(ctx, era, 0)
+		h.sleep(ctx, rand.N(registerSpread))
+	}
+}
+
+// awaitEra waits until the store is in another era than the given one, for at most a
+// time unless that is 0.
+func (h *host) awaitEra(ctx context.Context, era uint64, limit time.Duration) {
+	from := h.timer.Now()
+	for ctx.Err() == nil && h.era() == era && (limit == 0 || h.timer.Now() < from+limit) {
+		h.sleep(ctx, eraInterval)
+	}
+}
+
+// era returns the newest era of the store that this host knows, from the store itself or
+// from the copies of other hosts.
+func (h *host) era() uint64 {
+	era := h.feed.Era()
+	for _, m := range h.state.mirrors {
+		asOf, _ := m.Versions()
+		era = max(era, asOf.Era)
+	}
+	return era
+}
+
+// sleep waits for a time or until the context ends.
+func (h *host) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-h.timer.After(d):
+	}
+}
+
 // register adds this host to the list of hosts in the store and reads the
 // others from it. Hosts that register later become known by their heartbeats.
 func (h *host) register(ctx context.Context) {
@@ -44,16 +94,18 @@
 			return
 		}
 		h.cfg.Log.WithError(err).Warn("edge: registering in the store or reading its list of hosts failed; trying again")
-		select {
-		case <-ctx.Done():
-		case <-h.timer.After(hostListRetry):
-		}
+		h.sleep(ctx, hostListRetry)
 	}
 }
 
 // loadHosts reads the list of hosts from the store.
 func (h *host) loadHosts(ctx context.Context) error {
 	list, err := h.feed.List(ctx, core.FeedHosts)
+	if err == nil && len(list.Rows) <= 1 && list.Version.Era > 0 && len(h.members.Peers()) == 0 {
+		// The store may have come back without the entries of the other hosts.
+		h.awaitEra(ctx, list.Version.Era, relistDelay)
+		list, err = h.feed.List(ctx, core.FeedHosts)
+	}
 	if err != nil {
 		return err
 	}
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -143,7 +143,7 @@
 	h.cancel = cancel
 	go h.beacon.Run()
 	go h.state.run(ctx)
-	go h.register(ctx)
+	go h.runRegister(ctx)
 	go h.runHeartbeats(ctx)
 	go h.runNews(ctx)
 	go h.runCatchUp(ctx, core.FeedOperator)
