core/proxy: let the credits of a split end with it

Cause: the credits of smooth weighted round robin were kept under the route's name and reset only if the number of parts changed. A part with a positive credit kept it when its weight became 0 and was chosen with it once more. The same held for parts that became other services or changed places, and for a route that was removed and added again; routes that were gone left their credits in memory for good.

Change: the credits belong to the split of a version. They pass to the next version if the route's split is the same in it, and end otherwise; a part without weight is never chosen. A new split begins with a part drawn by the weights, since all hosts begin it at once. A request that an older version admitted draws its part.

--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -100,7 +100,7 @@
 
 // New returns a proxy.
 func New(cfg Config) *Proxy {
-	return &Proxy{cfg: cfg, splitter: splitter{credits: make(map[string][]float64)}}
+	return &Proxy{cfg: cfg}
 }
 
 // request is the state of one call while it is served.
@@ -132,7 +132,7 @@
 	if err := r.admit(ctx); err != nil {
 		return nil, err
 	}
-	r.record.Service = r.splitter.next(r.rule)
+	r.record.Service = r.splitter.next(r.table, r.rule)
 	r.cfg.Budget.Deposit(r.record.Service)
 	reply, err := r.tryServers(ctx)
 	if err != nil && r.failedReply != nil {
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -100,7 +100,7 @@
 		DomainHosts: func(core.DomainID) []core.HostID { return nil }, Service: env.table.Service, RequestCheck: func(core.Instance) {},
 	})
 	for i := range 4 {
-		for _, service := range []core.ServiceID{"s", "t"} {
+		for _, service := range []core.ServiceID{"s", "t", "u", "v", "w", "x"} {
 			view.Update(core.Instance{
 				Server: core.Server{Name: core.ServerID(fmt.Sprintf("%s-%d", service, i)), Service: service, Domain: "a", Address: "x", Slots: 50},
 				State:  core.InstanceReady,
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -17,6 +17,7 @@
 	Limits  core.Limits
 
 	hosts       map[string][]*core.RoutingRule // by host name, longest prefix first
+	splits      []*core.RoutingRule            // those with several parts
 	services    map[core.ServiceID]*core.ServiceConfig
 	keys        map[string]*core.WorkspaceConfig
 	workspaces  map[core.WorkspaceID]*core.WorkspaceConfig
@@ -37,6 +38,9 @@
 	for i := range r.Routes {
 		host := strings.ToLower(r.Routes[i].Host)
 		t.hosts[host] = append(t.hosts[host], &r.Routes[i])
+		if len(r.Routes[i].Split) > 1 {
+			t.splits = append(t.splits, &r.Routes[i])
+		}
 	}
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -66,6 +70,10 @@
 	return nil
 }
 
+// Splits returns the routes whose traffic is split between services. The slice must not
+// be changed.
+func (t *Table) Splits() []*core.RoutingRule { return t.splits }
+
 // RequiresKey reports whether requests need an API key, except on routes that are
 // open. That holds if the configuration has any workspaces.
 func (t *Table) RequiresKey() bool { return t.requiresKey }
