core/proxy: refuse requests of routes without any weight at once

If all weights of a split were 0, or its only part had the weight 0, requests went to the first service, although no proportion allows it any. They now get 503 with a time to come back: nothing was run, and no server can take them in this version.

TestRouteWithoutWeightsIsRefusedAtOnce failed before (200) and passes.

--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -132,9 +132,7 @@
 	if err := r.admit(ctx); err != nil {
 		return nil, err
 	}
-	r.record.Service = r.splitter.next(r.table, r.rule)
-	r.cfg.Budget.Deposit(r.record.Service)
-	reply, err := r.tryServers(ctx)
+	reply, err := r.forward(ctx)
 	if err != nil && r.failedReply != nil {
 		return r.failedReply, nil
 	}
@@ -144,6 +142,17 @@
 	return reply, err
 }
 
+// forward chooses the service and sends the request to its servers.
+func (r *request) forward(ctx context.Context) (*core.Reply, error) {
+	service, err := r.splitter.next(r.table, r.rule)
+	if err != nil {
+		return nil, err
+	}
+	r.record.Service = service
+	r.cfg.Budget.Deposit(service)
+	return r.tryServers(ctx)
+}
+
 // admit finds the route and the workspace, and takes a token of the
 // workspace's rate limit.
 func (r *request) admit(ctx context.Context) error {
--- a/core/proxy/split.go
+++ b/core/proxy/split.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"azurering/core"
+	"azurering/core/codes"
 	"azurering/core/routes"
 )
 
@@ -19,11 +20,15 @@
 	credits map[*core.RoutingRule][]float64 // accumulated credit of each part, by the split routes of table
 }
 
-// next returns the service for the next request of a route of a table.
-func (s *splitter) next(t *routes.Table, r *core.RoutingRule) core.ServiceID {
+// next returns the service for the next request of a route of a table. It fails with
+// NoServer if no part of the route has a weight.
+func (s *splitter) next(t *routes.Table, r *core.RoutingRule) (core.ServiceID, error) {
 	total := totalWeight(r.Split)
-	if len(r.Split) == 1 || total <= 0 {
-		return r.Split[0].Service
+	if total <= 0 {
+		return "", codes.New(codes.NoServer, "proxy: no service of route %s has a weight", r.Name)
+	}
+	if len(r.Split) == 1 {
+		return r.Split[0].Service, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -31,7 +36,7 @@
 	credits, ok := s.credits[r]
 	if !ok {
 		// The request was admitted by a table that is no longer in force.
-		return r.Split[draw(r.Split, total)].Service
+		return r.Split[draw(r.Split, total)].Service, nil
 	}
 	begins := credits == nil
 	if begins {
@@ -51,7 +56,7 @@
 		best = draw(r.Split, total)
 	}
 	credits[best] -= total
-	return r.Split[best].Service
+	return r.Split[best].Service, nil
 }
 
 // adopt makes the routes of a newer table the current ones. Credits pass to a route of
--- a/core/proxy/split_test.go
+++ b/core/proxy/split_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -112,3 +113,19 @@
 	// The standard deviation of a share is 0.007 of the requests.
 	require.InDelta(t, 0.25, float64(count["t"])/versions, 0.05)
 }
+
+// Guards against a route without any weight whose requests are sent to its first
+// service, or held until their time is over.
+func TestRouteWithoutWeightsIsRefusedAtOnce(t *testing.T) {
+	for _, split := range [][]core.WeightedService{parts(0, 0), {{Service: "s"}}} {
+		env := newTestEnv(ok)
+		env.split(1, map[string][]core.WeightedService{"r": split})
+		began := env.clock.Now()
+		reply, record := env.serve("/r/x")
+		require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+		require.NotEmpty(t, reply.Header.Get("Retry-After"))
+		require.Empty(t, record.Service)
+		require.Empty(t, env.backends.sent)
+		require.Equal(t, began, env.clock.Now())
+	}
+}
