app/edge: use no removed server because the store returns with its entry

Since the tables of a new era are adopted, the older copy may have the entry of a server that was removed in the lost time, for example of one that leaves without a word. The order of a server's own reports does not tell: the sequence that hosts know of a server rises only with changes of its entry. And entries that the copy lacks were meant to be held for 2 s, but only evacuations had the bound set.

Such an entry now waits until it has outlasted the time in which the store removes the entries of silent servers, three heartbeat intervals and 1 s; a write or removal in the new era ends the wait at once. Entries that the copy lacks are held for 2 s.

--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -156,6 +156,7 @@
 		h.sendLimitNotices()
 		h.suspectSilentServers()
 		h.state.endHeldEvacuations()
+		h.state.useReturnedEntries()
 		for _, id := range h.view.Tick() {
 			h.cfg.Log.WithFields(logrus.Fields{"event": "server", "server": id}).Info("edge: lapsed entry of a server was not renewed; the server gets no more requests")
 		}
--- a/app/edge/holds.go
+++ b/app/edge/holds.go
@@ -20,6 +20,9 @@
 	// that let its entry expire. It expires after three, and up to one and a half
 	// may pass before the outage, since servers keep the interval only roughly.
 	minExpiryBeats = 1.5
+	// renewTime is how long after a return of the store from an older copy live servers
+	// take to write the entries again that it has lost.
+	renewTime = 2 * time.Second
 )
 
 // holdLimits returns how long the removed entry of a server may count as
@@ -38,5 +41,6 @@
 		MinOutage: time.Duration(minExpiryBeats * float64(place.ServerHeartbeat)),
 		Removal:   max(drain-sendAllowance, 0),
 		Outage:    max(contact-sendAllowance, 0),
+		Return:    renewTime,
 	}
 }
--- a/app/edge/leave_test.go
+++ b/app/edge/leave_test.go
@@ -88,6 +88,7 @@
 	feed   *steppedFeed
 	mirror *mirror.Mirror
 	view   *picker.Picker
+	state  *clusterState
 
 	members *gossip.Members
 }
@@ -114,6 +115,7 @@
 		Service:      func(core.ServiceID) *core.ServiceConfig { return nil },
 		RequestCheck: func(core.Instance) {},
 	})
+	l.state = w
 	w.view, l.mirror = l.view, w.mirrors[core.FeedServers]
 	return l
 }
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -53,6 +53,7 @@
 	invalid   map[core.FeedTable]*invalidEntries
 
 	evacuations *evacuations
+	returned    *returnedEntries
 }
 
 func newClusterState(
@@ -60,6 +61,7 @@
 ) *clusterState {
 	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, changed: make(chan struct{}, 1), confirmed: make(chan struct{}, 1), leaves: make(chan struct{}, 1)}
 	w.evacuations = newEvacuations(t, func(domains map[core.DomainID]bool) { w.view.SetEvacuated(domains) })
+	w.returned = newReturnedEntries(t, expiryTime(cfg.Place))
 	w.invalid = map[core.FeedTable]*invalidEntries{
 		core.FeedOperator: newInvalidEntries(t, m, core.FeedOperator), core.FeedServers: newInvalidEntries(t, m, core.FeedServers),
 	}
@@ -211,32 +213,56 @@
 
 func (w *clusterState) serversChanged(c mirror.Change) {
 	for _, r := range c.Rows {
-		log := w.log.WithFields(logrus.Fields{"event": "server", "server": r.Key, "version": r.Version, "source": sourceName(c)})
+		w.returned.remove(r.Key)
 		if r.Removed {
 			hold := c.Holds[r.Key]
 			w.view.Remove(core.ServerID(r.Key), hold)
-			log.WithField("hold", hold.Milliseconds()).Info("edge: entry of a server was removed")
+			w.serverLog(r, sourceName(c)).WithField("hold", hold.Milliseconds()).Info("edge: entry of a server was removed")
 			continue
 		}
-		var i core.Instance
-		result := picker.EntryUnchanged
-		err := recovered(func() (err error) {
-			if i, err = w.cfg.Decode.Instance(r.Key, r.Value); err == nil {
-				result = w.view.Update(i)
-			}
+		w.updateServer(r, sourceName(c), !c.Replaced.IsZero())
+	}
+}
+
+func (w *clusterState) serverLog(r core.Record, source string) logrus.FieldLogger {
+	return w.log.WithFields(logrus.Fields{"event": "server", "server": r.Key, "version": r.Version, "source": source})
+}
+
+// updateServer takes over the entry of a server. If the store has returned from an older
+// copy with it, an entry that had been removed before waits until it is confirmed.
+func (w *clusterState) updateServer(r core.Record, source string, returned bool) {
+	log := w.serverLog(r, source)
+	var i core.Instance
+	result := picker.EntryUnchanged
+	waits := false
+	err := recovered(func() (err error) {
+		if i, err = w.cfg.Decode.Instance(r.Key, r.Value); err != nil {
 			return err
-		})
-		if err != nil {
-			w.view.Remove(core.ServerID(r.Key), 0)
-			w.invalid[core.FeedServers].report(log, r.Key, err, "edge: entry of a server is not usable; the server gets no requests")
-			continue
 		}
-		log = log.WithFields(logrus.Fields{"state": i.State, "address": i.Address, "cold": i.ColdLeft, "born": i.StartedMs})
-		switch result {
-		case picker.EntryChanged:
-			log.Info("edge: entry of a server changed")
-		case picker.EntryOlder:
-			log.WithField("sequence", i.Sequence).Warn("edge: entry of a server is older than the known one and is ignored")
+		if waits = returned && w.view.WasRemoved(i); !waits {
+			result = w.view.Update(i)
 		}
+		return nil
+	})
+	if err != nil {
+		w.view.Remove(core.ServerID(r.Key), 0)
+		w.invalid[core.FeedServers].report(log, r.Key, err, "edge: entry of a server is not usable; the server gets no requests")
+		return
 	}
+	log = log.WithFields(logrus.Fields{"state": i.State, "address": i.Address, "cold": i.ColdLeft, "born": i.StartedMs})
+	switch {
+	case waits:
+		w.returned.add(r, source)
+		log.Info("edge: store has come back with the entry of a server that was removed; the server gets no requests until its entry has outlasted the time in which the store removes it again")
+	case result == picker.EntryChanged:
+		log.Info("edge: entry of a server changed")
+	case result == picker.EntryOlder:
+		log.WithField("sequence", i.Sequence).Warn("edge: entry of a server is older than the known one and is ignored")
+	}
+}
+
+// useReturnedEntries takes over the entries of servers that were removed before a return
+// of the store, and that the store still has although dead servers' entries have expired.
+func (w *clusterState) useReturnedEntries() {
+	w.returned.takeConfirmed(func(e returnedEntry) { w.updateServer(e.record, e.source, false) })
 }
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -216,6 +216,15 @@
 	v.unlist(now, s)
 }
 
+// WasRemoved reports whether the entry of this start of a server was removed not long ago.
+func (v *Picker) WasRemoved(i core.Instance) bool {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	last, ok := v.removed[i.Name]
+	return ok && last.StartedMs == i.StartedMs && now < last.removedAt+lateReportTime
+}
+
 func (v *Picker) unlist(now time.Duration, s *server) {
 	s.listed = false
 	v.removed[s.Name] = lastReport{Instance: s.Instance, removedAt: now}
