soak: draw returns of the store from an older copy

Up to three times in a run the store goes away for up to a second and comes back from a copy up to three seconds old, with a new era. Operators and servers write again what it has lost, up to 1.5 s later and before anything new. The events are drawn by themselves, so that the seeds of the others keep their meaning.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -151,6 +151,19 @@
 		time.Sleep(e.duration)
 		c.store.SetEvacuated(d, false)
 	}},
+	{"store-return", 0, scopeStore, func(c *cluster, e event) { // see newReturnSchedule
+		older := c.store.Save()
+		time.Sleep(e.duration)
+		c.store.SetFault("", stand.FaultReset)
+		time.Sleep(time.Duration(e.pick%1000) * time.Millisecond)
+		rewritten := make(chan struct{})
+		go func() {
+			defer close(rewritten)
+			c.store.ReturnAndRewrite(older, time.Duration(e.choice%1500)*time.Millisecond)
+		}()
+		c.store.SetFault("", stand.FaultNone)
+		<-rewritten
+	}},
 	{"limit", 0, scopePlanned, func(c *cluster, e event) { // see newLimitSchedule
 		b := c.backendOf(e)
 		for i := range 1 + e.choice%2 {
@@ -205,6 +218,19 @@
 	return events
 }
 
+// newReturnSchedule returns events in which the store comes back from an older copy, up to
+// three in a run. Like those of newLimitSchedule they are drawn by themselves.
+func newReturnSchedule(r *rand.Rand, duration time.Duration) []event {
+	var events []event
+	for range r.IntN(4) {
+		events = append(events, event{
+			at: time.Second + time.Duration(r.Int64N(int64(duration))), fault: "store-return", pick: r.IntN(1 << 16), choice: r.IntN(1 << 16),
+			duration: time.Duration(r.Int64N(int64(3 * time.Second))),
+		})
+	}
+	return events
+}
+
 // runSchedule injects the faults of a schedule and waits until all have ended.
 func (c *cluster) runSchedule(ctx context.Context, events []event) {
 	var wg sync.WaitGroup
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -109,7 +109,10 @@
 	c := newCluster(t, binary, envInt(t, "SOAK_HOSTS", 9))
 	c.awaitReady()
 	c.start = time.Now()
-	events := append(newSchedule(rand.New(rand.NewPCG(seed, 1)), duration), newLimitSchedule(rand.New(rand.NewPCG(seed, 1<<32)), duration)...)
+	events := slices.Concat(
+		newSchedule(rand.New(rand.NewPCG(seed, 1)), duration), newLimitSchedule(rand.New(rand.NewPCG(seed, 1<<32)), duration),
+		newReturnSchedule(rand.New(rand.NewPCG(seed, 1<<33)), duration),
+	)
 	slices.SortFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	ctx, cancel := context.WithCancel(t.Context())
 	attempts := &attemptLog{}
