app/edge, io/beacon: register once at the start, and send earlier builds only changes

A host knows no era when it starts, took the first one that the store named for a return, and registered twice. And a host of an earlier build, which names no era when it asks for the changes after a version, was sent the whole table each time; it now gets the changes of the current era, as from its own build.

--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -42,8 +42,7 @@
 // share.
 func (h *host) runRegister(ctx context.Context) {
 	for ctx.Err() == nil {
-		era := h.era()
-		h.register(ctx)
+		era := h.register(ctx)
 		h.awaitEra(ctx, era, 0)
 		h.sleep(ctx, rand.N(registerSpread))
 	}
@@ -78,24 +77,30 @@
 }
 
 // register adds this host to the list of hosts in the store and reads the
-// others from it. Hosts that register later become known by their heartbeats.
-func (h *host) register(ctx context.Context) {
+// others from it. Hosts that register later become known by their heartbeats. It
+// returns the era of the store in which the entry was written, or an earlier one.
+func (h *host) register(ctx context.Context) (era uint64) {
 	raw, err := beacon.EncodeHeartbeat(h.heartbeat())
 	if err != nil {
 		h.cfg.Log.WithError(err).Error("edge: heartbeat cannot be encoded; host is not registered")
-		return
+		return h.era()
 	}
 	for ctx.Err() == nil {
+		era = h.era()
 		err := h.feed.Put(ctx, core.FeedHosts, string(h.cfg.Place.Name), raw)
+		if era == 0 {
+			era = h.era() // as the first response has named it
+		}
 		if err == nil {
 			err = h.loadHosts(ctx)
 		}
 		if err == nil {
-			return
+			return era
 		}
 		h.cfg.Log.WithError(err).Warn("edge: registering in the store or reading its list of hosts failed; trying again")
 		h.sleep(ctx, hostListRetry)
 	}
+	return era
 }
 
 // loadHosts reads the list of hosts from the store.
--- a/io/beacon/snapshot.go
+++ b/io/beacon/snapshot.go
@@ -124,12 +124,7 @@
 			return // Accept has written the response
 		}
 		defer func() { _ = socket.CloseNow() }()
-		// Zero, also if missing or malformed, means the whole table. Hosts of earlier
-		// builds name no era.
-		var after core.Version
-		after.Number, _ = strconv.ParseUint(c.Query("after"), 10, 64)
-		after.Era, _ = strconv.ParseUint(c.Query("era"), 10, 64)
-		snapshot := m.Snapshot(after)
+		snapshot := m.Snapshot(requestedVersion(c, m))
 		raw, err := caches[core.FeedTable(c.Param("table"))].encode(snapshot, socket.Subprotocol() == packedProtocol)
 		if err != nil {
 			return
@@ -145,6 +140,27 @@
 	return g
 }
 
+// requestedVersion returns the version after which a host asks for the changes. Zero, also
+// if it is missing or malformed, means the whole table. Hosts of earlier builds name no
+// era and are given the changes of the current one, as the table would be too much for
+// each change.
+func requestedVersion(c *gin.Context, m *mirror.Mirror) core.Version {
+	number, err := strconv.ParseUint(c.Query("after"), 10, 64)
+	if err != nil || number == 0 {
+		return core.Version{}
+	}
+	era, named := c.GetQuery("era")
+	if !named {
+		asOf, _ := m.Versions()
+		return core.Version{Era: asOf.Era, Number: number}
+	}
+	v := core.Version{Number: number}
+	if v.Era, err = strconv.ParseUint(era, 10, 64); err != nil {
+		return core.Version{}
+	}
+	return v
+}
+
 // writeHolds sends the holds of a snapshot, if there are any.
 func writeHolds(ctx context.Context, socket *websocket.Conn, holds map[string]time.Duration) error {
 	if len(holds) == 0 {
