--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -313,7 +313,9 @@
 	c.cluster.mu.Lock()
 	backends := make(map[string]*backend)
 	for id, b := range c.cluster.allBackends {
-		backends[id] = b
+		if b.Server != nil { // else it is being started, and has named no limit
+			backends[id] = b
+		}
 	}
 	c.cluster.mu.Unlock()
 	for id, b := range backends {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -319,19 +319,21 @@
 	if service == "vault" {
 		serviceTime = 300 * time.Millisecond // so that host stops overlap with requests in flight
 	}
-	var err error
-	b.Server, err = stand.StartServer(stand.ServerConfig{
+	server, err := stand.StartServer(stand.ServerConfig{
 		ID: b.id, Service: service, Domain: domain, Capacity: 4, Queue: 8, ProcessingTime: serviceTime, Store: c.store, Ledger: c.ledger,
 		AdvertiseAddress: func(address string) string {
-			if b.link, err = newLink(listen, "", address); err != nil {
+			link, err := newLink(listen, "", address)
+			if err != nil {
 				panic(err) // an address is used again only after its earlier link has been closed
 			}
+			b.link = link
 			return b.link.address()
 		},
 	})
 	require.NoError(c.t, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	b.Server = server
 	c.backends = append(c.backends, b)
 	return b
 }
