app/edge, core/mirror: let starting hosts take over what the store has lost

What callers saw: a host that was added or restarted after the store had come back from an older copy, and before the operator had written again, ran requests with a key that had been withdrawn before, and sent requests to an evacuated domain.

Cause: hosts that run through a return ignore an older configuration, but their copies of the table, which other hosts get, had it as the store has it; and a host that starts lists the store in any case.

Change: the known configuration stays in the copy of a new era, with the number 0, which any later write replaces. With a store that names eras, an empty copy of the operators' table waits for that of the host with the newest change, for a bounded time, and takes over its held evacuations. The host is then in the state of one that has run since before.

Stores without eras: no change. Messages between hosts are the same.

--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -51,6 +51,7 @@
 	switch from, _ := h.missing(table); {
 	case from == "":
 		return
+	case h.isJoining(table):
 	case h.members.FollowsStore():
 		delay = catchUpDelay
 	case !h.members.IsLocal(from):
@@ -87,6 +88,13 @@
 	return from, asOf
 }
 
+// isJoining reports whether this host has no copy of a table yet and waits for that of
+// another host.
+func (h *host) isJoining(table core.FeedTable) bool {
+	asOf, _ := h.state.mirrors[table].Versions()
+	return table == core.FeedOperator && asOf.IsZero() && h.feed.Era() > 0 && h.joining.awaitsCopy()
+}
+
 // lacksConfig reports whether another host has a change of the operators' table that this
 // host has not received.
 func (h *host) lacksConfig() bool {
@@ -126,9 +134,14 @@
 	m := f.host.state.mirrors[f.table]
 	asOf, _ := m.Versions()
 	sources := f.host.members.Sources(f.table, asOf)
-	if len(sources) == 0 || asOf.IsZero() && f.host.members.FollowsStore() && !m.Failing() {
+	joins := f.host.isJoining(f.table)
+	if len(sources) == 0 || asOf.IsZero() && f.host.members.FollowsStore() && !m.Failing() && !joins {
 		return false
 	}
+	if newest := f.host.members.NewestSource(f.table); joins && newest != "" {
+		// A host of the same domain may have been cut off from the changes of the others.
+		sources = append([]string{newest}, sources...)
+	}
 	if f.running == maxFetches || f.isArriving() {
 		return true
 	}
--- a/app/edge/edge.go
+++ b/app/edge/edge.go
@@ -65,7 +65,7 @@
 		fx.Supply(cfg),
 		fx.Provide(
 			func() core.Timer { return timer.NewReal() },
-			metric.New, newResources, newFeed, newMembers, newLimiter, newBudget, newBackends, newClusterState, newChecker, newView, newRecorder, newHost,
+			metric.New, newResources, newFeed, newMembers, newJoining, newLimiter, newBudget, newBackends, newClusterState, newChecker, newView, newRecorder, newHost,
 		),
 		fx.Populate(&a.host),
 		fx.Invoke(func(l fx.Lifecycle, h *host) {
--- a/app/edge/heartbeats.go
+++ b/app/edge/heartbeats.go
@@ -128,6 +128,10 @@
 		heartbeats = append(heartbeats, heartbeat)
 	}
 	h.members.AddListed(heartbeats)
+	h.joining.setListed()
+	if list.Version.Era > 0 {
+		wake(h.state.changed) // the sooner the others hear of this host, the sooner they answer
+	}
 	return nil
 }
 
--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -60,6 +60,7 @@
 	feed      core.Feed
 	metrics   *metric.Metrics
 	members   *gossip.Members
+	joining   *joining
 	limiter   *quota.Limiter
 	budget    *retry.Budget
 	pacer     *pacer.Pacer
@@ -88,11 +89,11 @@
 }
 
 func newHost(
-	cfg Config, t core.Timer, feed core.Feed, m *metric.Metrics, members *gossip.Members, l *quota.Limiter, b *retry.Budget, pool *conns.Pool,
+	cfg Config, t core.Timer, feed core.Feed, m *metric.Metrics, members *gossip.Members, j *joining, l *quota.Limiter, b *retry.Budget, pool *conns.Pool,
 	w *clusterState, view *picker.Picker, r *recorder, c *checker, bounds *resources,
 ) *host {
 	h := &host{
-		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, limiter: l, budget: b, pool: pool, state: w, view: view,
+		cfg: cfg, timer: t, feed: feed, metrics: m, members: members, joining: j, limiter: l, budget: b, pool: pool, state: w, view: view,
 		recorder: r, resources: bounds, closer: linger.New(linger.Config{}), bootTime: uint64(time.Now().UnixMilli()), announced: &announcements{upTo: make(map[core.FeedTable]time.Duration)},
 		oldCopies: make(map[core.FeedTable]bool),
 		catchUpWake: map[core.FeedTable]chan struct{}{
--- a/app/edge/invalid_test.go
+++ b/app/edge/invalid_test.go
@@ -62,7 +62,7 @@
 		Rules:   func([]byte) (core.RoutingConfig, error) { panic("test") },
 	}}
 	members := gossip.New(gossip.Config{Timer: clock, Self: gossip.Heartbeat{Host: "own", Domain: "d"}})
-	w := newClusterState(cfg, clock, nil, quota.New(quota.Config{Timer: clock}), members, metrics)
+	w := newClusterState(cfg, clock, nil, quota.New(quota.Config{Timer: clock}), members, newJoining(clock, members), metrics)
 	w.view = picker.New(picker.Config{
 		Timer: clock, Host: "own", Domain: "d", DomainHosts: func(core.DomainID) []core.HostID { return nil },
 		Service: func(core.ServiceID) *core.ServiceConfig { return nil }, RequestCheck: func(core.Instance) {},
--- a/app/edge/leave_test.go
+++ b/app/edge/leave_test.go
@@ -108,7 +108,7 @@
 	l.members = members
 	metrics, err := metric.New()
 	require.NoError(t, err)
-	w := newClusterState(cfg, clock, l.feed, quota.New(quota.Config{Timer: clock}), members, metrics)
+	w := newClusterState(cfg, clock, l.feed, quota.New(quota.Config{Timer: clock}), members, newJoining(clock, members), metrics)
 	l.view = picker.New(picker.Config{
 		Timer: clock, Host: "own", Domain: "d", Regions: map[core.DomainID]core.RegionID{"d": "r"},
 		DomainHosts:  func(core.DomainID) []core.HostID { return nil },
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -57,7 +57,7 @@
 }
 
 func newClusterState(
-	cfg Config, t core.Timer, feed core.Feed, limiter *quota.Limiter, members *gossip.Members, m *metric.Metrics,
+	cfg Config, t core.Timer, feed core.Feed, limiter *quota.Limiter, members *gossip.Members, j *joining, m *metric.Metrics,
 ) *clusterState {
 	w := &clusterState{cfg: cfg, log: cfg.Log, limiter: limiter, changed: make(chan struct{}, 1), confirmed: make(chan struct{}, 1), leaves: make(chan struct{}, 1)}
 	w.evacuations = newEvacuations(t, func(domains map[core.DomainID]bool) { w.view.SetEvacuated(domains) })
@@ -66,37 +66,42 @@
 		core.FeedOperator: newInvalidEntries(t, m, core.FeedOperator), core.FeedServers: newInvalidEntries(t, m, core.FeedServers),
 	}
 	w.mirrors = map[core.FeedTable]*mirror.Mirror{
-		core.FeedOperator: w.newMirror(t, feed, members, core.FeedOperator, mirror.HoldLimits{Return: operatorRewriteTime}, w.operatorChanged),
-		core.FeedServers:  w.newMirror(t, feed, members, core.FeedServers, holdLimits(cfg.Place), w.serversChanged),
+		core.FeedOperator: w.newMirror(members, mirror.Config{
+			Table: core.FeedOperator, Feed: feed, Timer: t, Holds: mirror.HoldLimits{Return: operatorRewriteTime}, OnChange: w.operatorChanged,
+			Keeps: w.keepsRules, AwaitsCopy: j.awaitsCopy,
+		}),
+		core.FeedServers: w.newMirror(members, mirror.Config{
+			Table: core.FeedServers, Feed: feed, Timer: t, Holds: holdLimits(cfg.Place), OnChange: w.serversChanged,
+		}),
 	}
 	return w
 }
 
-func (w *clusterState) newMirror(
-	t core.Timer, feed core.Feed, members *gossip.Members, table core.FeedTable, holds mirror.HoldLimits, changed func(mirror.Change),
-) *mirror.Mirror {
-	return mirror.New(mirror.Config{
-		Table: table, Feed: feed, Timer: t, PollTimeout: longPollWait, FollowsStore: members.FollowsStore,
-		Confirms: members.Confirms, ListsFirst: members.ListsFirst, OnConfirm: func() { wake(w.confirmed) }, Holds: holds,
-		OnChange: func(c mirror.Change) {
-			if !c.Replaced.IsZero() {
-				w.logReturn(table, c)
-			}
-			changed(c)
-			if !members.FollowsStore() {
-				return // other hosts learned of it no later than this one
-			}
-			wake(w.changed) // a heartbeat that is pending includes this change
-		},
-		OnStoreState: func(err error) {
-			log := w.log.WithFields(logrus.Fields{"event": "store", "table": table})
-			if err != nil {
-				log.WithError(err).Warn("edge: store cannot be reached; the known configuration and servers stay in use")
-				return
-			}
-			log.Info("edge: store can be reached again")
-		},
-	})
+// newMirror adds to a configuration what the mirrors of all tables have in common.
+func (w *clusterState) newMirror(members *gossip.Members, c mirror.Config) *mirror.Mirror {
+	c.PollTimeout = longPollWait
+	c.FollowsStore, c.Confirms, c.ListsFirst = members.FollowsStore, members.Confirms, members.ListsFirst
+	c.OnConfirm = func() { wake(w.confirmed) }
+	table, changed := c.Table, c.OnChange
+	c.OnChange = func(c mirror.Change) {
+		if !c.Replaced.IsZero() {
+			w.logReturn(table, c)
+		}
+		changed(c)
+		if !members.FollowsStore() {
+			return // other hosts learned of it no later than this one
+		}
+		wake(w.changed) // a heartbeat that is pending includes this change
+	}
+	c.OnStoreState = func(err error) {
+		log := w.log.WithFields(logrus.Fields{"event": "store", "table": table})
+		if err != nil {
+			log.WithError(err).Warn("edge: store cannot be reached; the known configuration and servers stay in use")
+			return
+		}
+		log.Info("edge: store can be reached again")
+	}
+	return mirror.New(c)
 }
 
 // run follows both tables until the context ends.
@@ -130,6 +135,10 @@
 }
 
 func (w *clusterState) operatorChanged(c mirror.Change) {
+	if c.First && c.Version.Era > 0 {
+		w.log.WithFields(logrus.Fields{"event": "join", "version": c.Version, "source": sourceName(c), "held": len(c.Holds)}).
+			Info("edge: first copy of the operators' table")
+	}
 	for _, r := range c.Rows {
 		if w.cfg.Decode.IsRules(r.Key) {
 			if err := recovered(func() error { return w.applyRules(r, sourceName(c)) }); err != nil {
@@ -144,11 +153,42 @@
 		}
 		hold := c.Holds[r.Key]
 		w.log.WithFields(logrus.Fields{"event": "evacuate", "domain": domain, "over": r.Removed, "hold": hold.Milliseconds(), "version": r.Version, "source": sourceName(c)}).Info("edge: evacuation changed")
+		if c.First && hold > 0 {
+			w.evacuations.set(domain, true, 0) // the host whose copy this is has it in force
+		}
 		w.evacuations.set(domain, !r.Removed, hold)
 	}
 	w.evacuations.publish()
 }
 
+// keepsRules reports whether a known configuration stays although the store has come back
+// with an earlier one, with one that cannot be read, or with none.
+func (w *clusterState) keepsRules(known, read core.Record) bool {
+	if !w.cfg.Decode.IsRules(known.Key) {
+		return false
+	}
+	var before, after core.RoutingConfig
+	err := recovered(func() (err error) {
+		before, err = w.cfg.Decode.Rules(known.Value)
+		return err
+	})
+	if err != nil {
+		return false
+	}
+	if !read.Removed {
+		err = recovered(func() (err error) {
+			after, err = w.cfg.Decode.Rules(read.Value)
+			return err
+		})
+	}
+	if err == nil && !read.Removed && after.Version >= before.Version {
+		return false
+	}
+	w.log.WithFields(logrus.Fields{"event": "rules", "row": read.Version, "version": after.Version, "inforce": before.Version, "removed": read.Removed}).
+		Info("edge: store came back with an older configuration; the known one stays in the copy that other hosts get")
+	return true
+}
+
 // endHeldEvacuations ends the evacuations that the operator has not requested again in
 // time after the store came back without them.
 func (w *clusterState) endHeldEvacuations() {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -337,6 +337,18 @@
 	return p != nil && p.seen && p.StartedMs == startedMs
 }
 
+// HasHeardAll reports whether a heartbeat of each known host has arrived.
+func (v *Members) HasHeardAll() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.peers {
+		if !p.seen {
+			return false
+		}
+	}
+	return true
+}
+
 // isNew reports whether a host was listed so recently that its first
 // heartbeat may still be on its way.
 func (v *Members) isNew(now time.Duration, p *peer) bool {
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -352,6 +352,25 @@
 	}
 }
 
+// Guards against a host that starts and takes the copy of one that has been cut off from
+// the changes of the others because both are in one domain, against one that takes the
+// copy of a dead host, and against one that waits for a copy that no host has.
+func TestStartingHostAsksTheHostWithTheNewestChange(t *testing.T) {
+	f := newFleet(2, 2)
+	f.run(4 * time.Second)
+	v := f.views["b1"]
+	require.True(t, v.HasHeardAll())
+	require.Empty(t, v.NewestSource(core.FeedOperator))
+	f.hosts[2].Versions = map[core.FeedTable]core.Version{core.FeedOperator: {Era: 1, Number: 90}}
+	f.hosts[1].Versions = map[core.FeedTable]core.Version{core.FeedOperator: {Era: 2, Number: 5}}
+	f.run(time.Second)
+	require.Equal(t, []string{"b0", "a1"}, v.Sources(core.FeedOperator, core.Version{}))
+	require.Equal(t, "a1", v.NewestSource(core.FeedOperator))
+	v.AddListed([]gossip.Heartbeat{{Host: "c0", Domain: "c", Address: "c0", Versions: map[core.FeedTable]core.Version{core.FeedOperator: {Era: 3, Number: 9}}}})
+	require.False(t, v.HasHeardAll())
+	require.Equal(t, "a1", v.NewestSource(core.FeedOperator))
+}
+
 // A host that has lent its last tokens must not be asked again before its
 // next heartbeat, or other hosts with spare tokens would never be asked.
 func TestSpareTokens(t *testing.T) {
--- a/core/gossip/source.go
+++ b/core/gossip/source.go
@@ -19,6 +19,27 @@
 	)
 }
 
+// NewestSource returns the address of the live host with the newest change of a table, or
+// "" if no live host reports any.
+func (v *Members) NewestSource(t core.FeedTable) string {
+	now := v.cfg.Timer.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var newest *peer
+	for _, p := range v.peers {
+		if p.Versions[t].IsZero() || !v.isAlive(now, p) {
+			continue
+		}
+		if newest == nil || cmp.Or(p.Versions[t].Compare(newest.Versions[t]), cmp.Compare(newest.Host, p.Host)) > 0 {
+			newest = p
+		}
+	}
+	if newest == nil {
+		return ""
+	}
+	return newest.Address
+}
+
 // Lender returns the address of the live host from which to borrow rate tokens
 // of a workspace: the first one of Lenders. It returns "" if no host has any.
 func (v *Members) Lender(w core.WorkspaceID) string {
--- a/core/mirror/apply.go
+++ b/core/mirror/apply.go
@@ -39,18 +39,29 @@
 	}
 	for _, r := range got.Rows {
 		seen[r.Key] = true
-		if old, ok := m.rows[r.Key]; !ok || !isSameRow(old, r) {
+		old, ok := m.rows[r.Key]
+		if ok && m.keeps(old, r) {
+			m.keep(old, got.Version.Era)
+			continue
+		}
+		if !ok || !isSameRow(old, r) {
 			changes = append(changes, r)
 		}
 		m.rows[r.Key] = r
 		m.newest = m.newest.Max(r.Version)
 	}
-	for key := range m.rows {
-		if !seen[key] {
-			delete(m.rows, key)
-			changes = append(changes, core.Record{Key: key, Version: got.Version, Removed: true})
-			m.newest = m.newest.Max(got.Version) // the version of the removal is not known
+	for key, old := range m.rows {
+		if seen[key] {
+			continue
+		}
+		removal := core.Record{Key: key, Version: got.Version, Removed: true}
+		if m.keeps(old, removal) {
+			m.keep(old, got.Version.Era)
+			continue
 		}
+		delete(m.rows, key)
+		changes = append(changes, removal)
+		m.newest = m.newest.Max(got.Version) // the version of the removal is not known
 	}
 	m.history, m.historyStart = nil, got.Version
 	return changes
--- a/core/mirror/era.go
+++ b/core/mirror/era.go
@@ -1,6 +1,10 @@
 package mirror
 
-import "time"
+import (
+	"time"
+
+	"azurering/core"
+)
 
 // listDelay is how long a host waits for the copy of the host that lists the table
 // first after the store has come back from an older copy. It leaves that host one
@@ -33,3 +37,23 @@
 	m.noteEra()
 	m.mustList = true
 }
+
+// awaitsCopy reports whether this mirror, while it is empty, waits for the copy of another
+// host.
+func (m *Mirror) awaitsCopy() bool {
+	return m.cfg.AwaitsCopy != nil && m.cfg.Feed.Era() > 0 && m.cfg.AwaitsCopy()
+}
+
+// keeps reports whether a row of the copy stays although the store has it in another form
+// or not at all.
+func (m *Mirror) keeps(known, read core.Record) bool {
+	wasKept := known.Version.Number == 0
+	return m.cfg.Keeps != nil && (wasKept || known.Version.Era < read.Version.Era) && m.cfg.Keeps(known, read)
+}
+
+// keep keeps a row in the copy of an era. Its version is before all that the store gives
+// out in that era, so that each later write of the row replaces it.
+func (m *Mirror) keep(r core.Record, era uint64) {
+	r.Version = core.Version{Era: era}
+	m.rows[r.Key] = r
+}
--- a/core/mirror/hold.go
+++ b/core/mirror/hold.go
@@ -49,3 +49,19 @@
 	}
 	return left
 }
+
+// heldRows returns the rows that the host of a copy holds as removals, apart from those
+// that the copy has.
+func heldRows(c Snapshot) []core.Record {
+	has := make(map[string]bool, len(c.Rows))
+	for _, r := range c.Rows {
+		has[r.Key] = true
+	}
+	var held []core.Record
+	for key := range c.Holds {
+		if !has[key] {
+			held = append(held, core.Record{Key: key, Version: c.Version, Removed: true})
+		}
+	}
+	return held
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -69,6 +69,16 @@
 	// come back from an older copy. The others wait for the copy of that host. Nil means
 	// that it always does.
 	ListsFirst func() bool
+	// Keeps reports whether a known row stays in the copy although the store, since it
+	// has come back from an older copy, has it in another form, or has it no longer if
+	// read is a removal. Hosts that adopt the copy get the known row. Nil means that no
+	// row stays.
+	Keeps func(known, read core.Record) bool
+	// AwaitsCopy reports whether an empty mirror waits for the copy of another host before
+	// it uses what the store has: the store may lack what the other host has kept. It is
+	// called only if the store names eras and can be reached. Nil means that an empty
+	// mirror never waits.
+	AwaitsCopy func() bool
 	// OnConfirm is called after a read of the store has shown that the copy is
 	// complete. Nil is allowed. It must not call the Mirror.
 	OnConfirm func()
@@ -95,6 +105,9 @@
 	Holds   map[string]time.Duration
 	Source  string       // address of the host whose copy was merged; empty for the store
 	Version core.Version // version of the copy after the step
+	// First is set if the copy was empty before the step. Holds then also has rows that
+	// the host whose copy was merged holds.
+	First bool
 	// Replaced is the version of the copy before the step if the step was the first
 	// one in a new era of the store, or zero. The changes from it to the content of
 	// the new era include what the store has lost.
@@ -194,6 +207,9 @@
 		return false
 	}
 	m.newest = m.newest.Max(c.Newest)
+	if before.IsZero() {
+		changes = append(changes, heldRows(c)...)
+	}
 	now := m.cfg.Timer.Now()
 	change := m.newChange(before, changes, c.Source)
 	m.recordHolds(changes, func(key string) time.Duration {
@@ -215,7 +231,7 @@
 
 // newChange describes a step from a version to the current one.
 func (m *Mirror) newChange(before core.Version, rows []core.Record, source string) Change {
-	c := Change{Rows: rows, Source: source, Version: m.version}
+	c := Change{Rows: rows, Source: source, Version: m.version, First: before.IsZero()}
 	if !before.IsZero() && before.Era < m.version.Era {
 		c.Replaced = before
 	}
@@ -262,8 +278,12 @@
 	m.mu.Lock()
 	m.noteEra()
 	waits := m.mustList && m.cfg.Timer.Now() < m.listAt
+	isEmpty := m.version.IsZero() && !m.failing
 	must := m.version.IsZero() || m.mustList || m.failing || m.isStale(maxAge)
 	m.mu.Unlock()
+	if isEmpty && m.awaitsCopy() {
+		return false
+	}
 	if waits {
 		return m.cfg.ListsFirst == nil || m.cfg.ListsFirst()
 	}
@@ -303,6 +323,10 @@
 	if err != nil {
 		return m.handleError(ctx, call, start, err)
 	}
+	if from.IsZero() && m.awaitsCopy() {
+		m.handleReached() // the store has named its era only now
+		return nil
+	}
 	complete := start
 	switch {
 	case got.Partial:
@@ -362,6 +386,13 @@
 	return err
 }
 
+// handleReached handles a response of which nothing is used.
+func (m *Mirror) handleReached() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recordReached()
+}
+
 // recordReached records that the store has answered.
 func (m *Mirror) recordReached() {
 	if m.failing {
