app/edge: read from the settings how long lost evacuations last

Evacuations that are missing after a return of the store stay in force for recoveryS, the bound in which the whole system has to recover. It was a constant of 15 s, as all deployments in force have it; one with another bound would have got the wrong time. 15 s are now used only if the settings name none.

--- a/app/edge/evacuations.go
+++ b/app/edge/evacuations.go
@@ -7,11 +7,19 @@
 	"azurering/core"
 )
 
-// operatorRewriteTime is how long evacuations stay in force that are missing in the
+// defaultRecoveryTime applies if the platform does not state the bound.
+const defaultRecoveryTime = 15 * time.Second
+
+// operatorRewriteTime returns how long evacuations stay in force that are missing in the
 // table after the store has come back from an older copy. The operator requests them
 // again. One that was taken back in the moment of the return looks the same, and ends
 // after this time, in which the whole system has to recover from any loss.
-const operatorRewriteTime = 15 * time.Second
+func operatorRewriteTime(place core.HostSettings) time.Duration {
+	if place.Bounds.RecoveryTime <= 0 {
+		return defaultRecoveryTime
+	}
+	return place.Bounds.RecoveryTime
+}
 
 // evacuations holds the failure domains to which no requests are sent. It is safe for
 // concurrent use.
--- a/app/edge/evacuations_test.go
+++ b/app/edge/evacuations_test.go
@@ -14,6 +14,8 @@
 // against one that never ends although the operator has taken it back.
 func TestLostEvacuationEndsInTime(t *testing.T) {
 	clock := timer.NewManual()
+	hold := operatorRewriteTime(core.HostSettings{Bounds: core.PlatformLimits{RecoveryTime: 20 * time.Second}})
+	require.Equal(t, 20*time.Second, hold)
 	var inForce map[core.DomainID]bool
 	e := newEvacuations(clock, func(domains map[core.DomainID]bool) { inForce = domains })
 	set := func(domain core.DomainID, evacuated bool, hold time.Duration) {
@@ -22,13 +24,13 @@
 	}
 	for _, domain := range []core.DomainID{"lost", "again", "over"} {
 		set(domain, true, 0)
-		set(domain, false, operatorRewriteTime)
+		set(domain, false, hold)
 	}
 	set("again", true, 0)
 	set("over", false, 0)
-	set("other", false, operatorRewriteTime)
+	set("other", false, hold)
 	require.Equal(t, map[core.DomainID]bool{"lost": true, "again": true}, inForce)
-	clock.Advance(operatorRewriteTime - time.Millisecond)
+	clock.Advance(hold - time.Millisecond)
 	require.Empty(t, e.expire())
 	clock.Advance(time.Millisecond)
 	require.Equal(t, []core.DomainID{"lost"}, e.expire())
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -67,7 +67,7 @@
 	}
 	w.mirrors = map[core.FeedTable]*mirror.Mirror{
 		core.FeedOperator: w.newMirror(members, mirror.Config{
-			Table: core.FeedOperator, Feed: feed, Timer: t, Holds: mirror.HoldLimits{Return: operatorRewriteTime}, OnChange: w.operatorChanged,
+			Table: core.FeedOperator, Feed: feed, Timer: t, Holds: mirror.HoldLimits{Return: operatorRewriteTime(cfg.Place)}, OnChange: w.operatorChanged,
 			Keeps: w.keepsRules, AwaitsCopy: j.awaitsCopy,
 		}),
 		core.FeedServers: w.newMirror(members, mirror.Config{
--- a/core/rules.go
+++ b/core/rules.go
@@ -96,6 +96,7 @@
 	ShutdownGrace time.Duration // between SIGTERM and SIGKILL
 	DrainTimeout  time.Duration // requests may reach a server for so long after its leave was acknowledged
 	ContactTime   time.Duration // a host is bound again once it has been undisturbed for so long
+	RecoveryTime  time.Duration // the whole system has recovered from any loss so long after it
 	MaxLookupTTL  time.Duration // maximum lifetime (TTL) of a look-up answer
 	RetryRatio    float64       // retries per request, for all hosts together
 	MinRetries    float64       // additional retries in each RetryWindow
