io/conns, io/server: reset the connections of requests that are given up

What callers saw: requests to a zone that was cut off got 504, or their callers left.

Cause: the connection of a request that is given up was closed as usual, and the kernel goes on to deliver what is not acknowledged.

Change: the connection of an exchange that fails or is given up is reset, so that the kernel drops what it holds; that of azurering entry after the 2 s in which the server may end its work. Idle connections and those of answered requests are closed as before.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -16,6 +16,7 @@
 
 	"azurering/core"
 	"azurering/core/space"
+	"azurering/io/socket"
 )
 
 const (
@@ -120,6 +121,14 @@
 	_ = c.Close()
 }
 
+// abandon closes the connection of an exchange that has failed or is given up. What the
+// kernel still holds of its request is dropped: it would reach the server when that can be
+// reached again, long after the caller was told how the request ended.
+func (c *conn) abandon() {
+	socket.AbortOnClose(c.Conn)
+	c.shut()
+}
+
 func (c *conn) readLoop() {
 	// A response on which the parser panics ends its exchange, not the process.
 	defer func() {
@@ -150,7 +159,7 @@
 
 // fail closes the connection and fails the exchange on it, if any.
 func (c *conn) fail(x *exchange, err error) {
-	c.shut()
+	c.abandon()
 	c.pool.remove(c)
 	if x != nil {
 		x.done <- result{err: errors.Wrap(err, "conns: no complete response from the server")}
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -135,7 +135,7 @@
 	case r := <-x.done:
 		return p.checkResult(r)
 	case <-ctx.Done():
-		cn.shut()
+		cn.abandon()
 		return nil, core.ReplyMeta{}, &core.SendError{State: core.SendUnknown, Cause: ctx.Err()}
 	}
 }
@@ -151,7 +151,7 @@
 	case <-ctx.Done():
 	case <-time.After(writeGrace):
 	}
-	cn.shut()
+	cn.abandon()
 	return nil, core.ReplyMeta{}, &core.SendError{State: core.SendUnknown, Cause: err}
 }
 
--- a/io/server/exchange.go
+++ b/io/server/exchange.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"azurering/io/socket"
 )
 
 const (
@@ -71,11 +73,13 @@
 	_ = conn.SetDeadline(time.Now()) // ends the reads and writes of the transport
 	e.conn.readMu.Lock()
 	defer e.conn.readMu.Unlock()
-	isClosed := closeWrite(conn) == nil && awaitClose(conn)
-	_ = conn.Close()
-	if !isClosed {
-		time.Sleep(resetDelay)
+	if closeWrite(conn) == nil && awaitClose(conn) {
+		_ = conn.Close()
+		return
 	}
+	// The request may still be on its way to a server that cannot be reached.
+	socket.Abort(conn)
+	time.Sleep(resetDelay)
 }
 
 // closeWrite closes the sending side of a TCP or TLS connection.
--- a/io/server/exchange_test.go
+++ b/io/server/exchange_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -8,14 +9,17 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"azurering/core"
 	"azurering/core/timer"
 	"azurering/io/server"
+	"azurering/io/socket"
 )
 
 // startSlowServer starts a server that sends a part of a response if it is asked for
@@ -85,6 +89,40 @@
 	}
 }
 
+// Guards against a request that runs after its exchange has ended and its slot went to
+// another one: what the kernel holds of it must not reach a server that could not take it
+// before.
+func TestAbandonedRequestArrivesNoMoreAfterItsEnd(t *testing.T) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return socket.ControlRaw(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, 1) }) // the least
+	}}
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	c := server.New(server.Config{Timer: timer.NewReal()})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	// More than the kernel of the server takes, and less than that of the client.
+	request := core.Request{Method: http.MethodPost, Path: "/", Body: make([]byte, 12<<10)}
+	_, err = c.Send(ctx, core.Server{Name: "s", Address: l.Addr().String()}, request)
+	require.Equal(t, core.SendUnknown, stateOf(t, err))
+	<-core.EndOf(err)
+	conn := <-accepted
+	defer func() { _ = conn.Close() }()
+	got, err := http.ReadRequest(bufio.NewReader(conn))
+	if err == nil {
+		_, err = io.Copy(io.Discard, got.Body)
+	}
+	require.Error(t, err)
+}
+
 // Guards against a slot that is never free again: the server goes on sending, or neither
 // sends nor closes the connection, or the exchange ended with a response that has no body.
 func TestEveryExchangeEnds(t *testing.T) {
--- a/io/socket/socket.go
+++ b/io/socket/socket.go
@@ -34,8 +34,11 @@
 }
 
 // AbortOnClose makes the close of a connection drop what was not delivered, which the kernel
-// would keep otherwise.
+// would keep otherwise. The connection may be a TLS one.
 func AbortOnClose(c net.Conn) {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
