io/front: handle requests behind a download after its answer

Cause: requests of a connection are passed on at once. An answer over 1 MiB goes on as it arrives, and if it breaks off nothing can follow on its connection.

Change: requests behind one of a download route are handled once its answer cannot break off any more, that is in memory as a whole, or written. If it breaks off, they have not been passed on. Their answers could not have been written sooner in any case.

--- a/app/edge/host.go
+++ b/app/edge/host.go
@@ -133,7 +133,7 @@
 		return err
 	}
 	h.front = front.New(front.Config{
-		Timer: h.timer, Dialect: h.cfg.Dialect, Handle: h.serve, Limits: h.state.limits, Space: h.resources.bodies, Requests: h.resources.requests, Unread: h.resources.unread,
+		Timer: h.timer, Dialect: h.cfg.Dialect, Handle: h.serve, MayBeLong: h.state.hasLargeAnswer, Limits: h.state.limits, Space: h.resources.bodies, Requests: h.resources.requests, Unread: h.resources.unread,
 		MaxConns: h.resources.maxCallers, OnReject: h.recorder.logRejection,
 		Closer: h.closer, OnEnd: h.recorder.logEnd, Log: h.cfg.Log,
 	})
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -127,6 +127,16 @@
 	return nil
 }
 
+// hasLargeAnswer reports whether the route of a call is for downloads.
+func (w *clusterState) hasLargeAnswer(c *core.Call) bool {
+	t := w.table.Load()
+	if t == nil {
+		return false
+	}
+	rule := t.Match(c.Host, c.Path)
+	return rule != nil && rule.Class == core.ClassDownload
+}
+
 func (w *clusterState) limits() core.Limits {
 	if t := w.table.Load(); t != nil {
 		return t.Limits
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -45,6 +45,9 @@
 	// isRegular is set while the caller sends one request at a time and reads the responses.
 	// Only the goroutine of run uses it.
 	isRegular bool
+	// lastLong is the field complete of the last request whose reply may be long, or nil.
+	// Only the goroutine of run uses it.
+	lastLong  chan struct{}
 	ctx       context.Context
 	cancel    context.CancelFunc
 	exchanges chan *exchange
@@ -83,6 +86,12 @@
 	call       *core.Call
 	reply      chan *core.Reply
 	closeAfter bool // the connection closes after the response
+	// after is the field complete of an earlier request of the connection: this one is
+	// handled once it is closed. Nil means at once.
+	after chan struct{}
+	// complete is closed once the reply cannot break off any more. It is nil unless the
+	// reply may be long.
+	complete chan struct{}
 	// interim stands for a 100 Continue response; call and reply are unset.
 	interim bool
 	claim   *space.Claim // memory of the request besides its body; nil for one that was rejected
@@ -147,6 +156,7 @@
 			return
 		}
 		c.streamsBody = x.call.BodyRest != nil
+		c.setOrder(x)
 		c.exchanges <- x
 		go c.serve(x)
 		if x.closeAfter {
@@ -170,17 +180,55 @@
 	}
 }
 
+// setOrder makes a request wait for the reply to the last one before it that may be long.
+func (c *conn) setOrder(x *exchange) {
+	x.after = c.lastLong
+	if c.server.cfg.MayBeLong != nil && c.server.cfg.MayBeLong(x.call) {
+		x.complete = make(chan struct{})
+		c.lastLong = x.complete
+	}
+}
+
 // serve handles a request and passes its response to the goroutine that writes.
 func (c *conn) serve(x *exchange) {
-	reply := c.handle(x.call)
+	var reply *core.Reply
+	if c.awaitEarlier(x) {
+		reply = c.handle(x.call)
+	} else {
+		reply = proxy.ErrorReply(http.StatusServiceUnavailable, codes.NoCapacity, errNotHandled) // is not written
+	}
 	if x.call.Release != nil {
 		x.call.Body = nil
 		x.call.Release()
 	}
 	x.claim.Resize(requestBytes)
+	if reply.BodyRest == nil {
+		x.setComplete()
+	}
 	x.reply <- reply
 }
 
+// awaitEarlier waits until the earlier requests let a request be handled. It returns false if the connection
+// ends before.
+func (c *conn) awaitEarlier(x *exchange) bool {
+	if x.after == nil {
+		return true
+	}
+	select {
+	case <-x.after:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// setComplete lets the requests be handled that wait for the reply.
+func (x *exchange) setComplete() {
+	if x.complete != nil {
+		close(x.complete)
+	}
+}
+
 // handle handles a call. A panic ends only this call, not the process with the calls
 // of all other callers. A server may have run the request.
 func (c *conn) handle(call *core.Call) (reply *core.Reply) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -31,6 +31,11 @@
 	// Handle handles a call and returns the reply. It is called concurrently.
 	// The context is canceled when the caller disconnects.
 	Handle func(ctx context.Context, c *core.Call) *core.Reply
+	// MayBeLong reports whether the reply to a call may have a body that is too long to be
+	// buffered. Requests that are pipelined behind such a call are handled after its reply:
+	// if that breaks off, the connection ends, and theirs would be lost. Nil means that no
+	// reply is.
+	MayBeLong func(*core.Call) bool
 	// Limits returns the limits for requests in force. Zero values mean the
 	// defaults of this package; a zero BodyBytes means no limit.
 	Limits func() core.Limits
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -20,7 +20,10 @@
 	writeTimeout = 10 * time.Second
 )
 
-var errTruncated = errors.New("front: response of the server is truncated")
+var (
+	errTruncated  = errors.New("front: response of the server is truncated")
+	errNotHandled = errors.New("front: connection ended before the request was handled")
+)
 
 // writeLoop writes the responses in the order of the requests.
 func (c *conn) writeLoop() {
@@ -38,6 +41,7 @@
 			continue
 		}
 		closeAfter := x.closeAfter || c.closesAfterResponse()
+		isStreamed := reply.BodyRest != nil
 		err := c.writeResponse(x, reply, closeAfter)
 		c.endWriting()
 		x.claim.Release()
@@ -49,6 +53,9 @@
 			c.endWrite(EndUnwritten)
 			continue
 		}
+		if isStreamed {
+			x.setComplete()
+		}
 		c.mu.Lock()
 		c.inFlight--
 		c.closing = c.closing || closeAfter
