--- a/app/edge/catchup.go
+++ b/app/edge/catchup.go
@@ -51,7 +51,7 @@
 	switch from, _ := h.missing(table); {
 	case from == "":
 		return
-	case h.isJoining(table):
+	case h.isJoining(table): // requests are refused meanwhile
 	case h.members.FollowsStore():
 		delay = catchUpDelay
 	case !h.members.IsLocal(from):
--- a/app/edge/join.go
+++ b/app/edge/join.go
@@ -12,10 +12,11 @@
 	// listTimeout is how long after its start a host waits for the store's list of hosts
 	// before it uses the store's table of operators.
 	listTimeout = time.Second
-	// answerTimeout is how long after that a host waits for the first heartbeat of another
-	// one that has the table. Hosts answer with their next heartbeat.
+	// answerTimeout is how long after it has read the list a host waits for a heartbeat of
+	// another one that has the table. Hosts answer with their next heartbeat.
 	answerTimeout = 2 * heartbeatInterval
-	// joinTimeout is how long after that list a host waits for the copy of another one.
+	// joinTimeout is how long after it has read the list a host waits for a copy that
+	// another one has.
 	joinTimeout = answerTimeout + tableTimeout
 )
 
--- a/app/edge/world.go
+++ b/app/edge/world.go
@@ -177,21 +177,12 @@
 	if !w.cfg.Decode.IsRules(known.Key) {
 		return false
 	}
-	var before, after core.RoutingConfig
-	err := recovered(func() (err error) {
-		before, err = w.cfg.Decode.Rules(known.Value)
-		return err
-	})
+	before, err := w.decodeRules(known.Value)
 	if err != nil {
 		return false
 	}
-	if !read.Removed {
-		err = recovered(func() (err error) {
-			after, err = w.cfg.Decode.Rules(read.Value)
-			return err
-		})
-	}
-	if err == nil && !read.Removed && after.Version >= before.Version {
+	after, err := w.decodeRules(read.Value)
+	if !read.Removed && err == nil && after.Version >= before.Version {
 		return false
 	}
 	w.log.WithFields(logrus.Fields{"event": "rules", "row": read.Version, "version": after.Version, "inforce": before.Version, "removed": read.Removed}).
@@ -199,6 +190,15 @@
 	return true
 }
 
+// decodeRules decodes a configuration. A panic of the decoder is an error.
+func (w *clusterState) decodeRules(raw []byte) (rules core.RoutingConfig, err error) {
+	err = recovered(func() (err error) {
+		rules, err = w.cfg.Decode.Rules(raw)
+		return err
+	})
+	return rules, err
+}
+
 // endHeldEvacuations ends the evacuations that the operator has not requested again in
 // time after the store came back without them.
 func (w *clusterState) endHeldEvacuations() {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -72,7 +72,7 @@
 	// Keeps reports whether a known row stays in the copy although the store, since it
 	// has come back from an older copy, has it in another form, or has it no longer if
 	// read is a removal. Hosts that adopt the copy get the known row. Nil means that no
-	// row stays.
+	// row stays. Keeps must not call the Mirror.
 	Keeps func(known, read core.Record) bool
 	// AwaitsCopy reports whether an empty mirror waits for the copy of another host before
 	// it uses what the store has: the store may lack what the other host has kept. It is
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -159,11 +159,14 @@
 
 // fail closes the connection and fails the exchange on it, if any.
 func (c *conn) fail(x *exchange, err error) {
+	if x == nil {
+		c.shut()
+		c.pool.remove(c)
+		return
+	}
 	c.abandon()
 	c.pool.remove(c)
-	if x != nil {
-		x.done <- result{err: errors.Wrap(err, "conns: no complete response from the server")}
-	}
+	x.done <- result{err: errors.Wrap(err, "conns: no complete response from the server")}
 }
 
 // readResponse reads the response of an exchange and reports whether readLoop
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -208,8 +208,8 @@
 	x.reply <- reply
 }
 
-// awaitEarlier waits until the earlier requests let a request be handled. It returns false if the connection
-// ends before.
+// awaitEarlier waits until the earlier requests let a request be handled. It returns false
+// if the connection ends before.
 func (c *conn) awaitEarlier(x *exchange) bool {
 	if x.after == nil {
 		return true
