io/conns, io/front: end long answers whose server stops sending

What callers saw: a server sent a part of an answer over 1 MiB and nothing more, without closing.

Cause: the request's deadline ended with the first MiB of the answer. The rest was read without a bound, and the wait for it did not see that the caller had left.

A caller that disconnects ends the wait.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 
 	"azurering/core"
-	"azurering/core/space"
 	"azurering/io/socket"
 )
 
@@ -73,6 +72,7 @@
 	request   *http.Request // tells http.ReadResponse how the response is framed
 	written   chan struct{} // closed once the request is written completely
 	bodySent  int64         // bytes of the body that were written; set by the goroutine that writes the request
+	deadline  time.Time     // of the request, or zero
 	stopBody  func()        // ends the reading of the body from the caller; nil if the body is in memory
 	done      chan result
 }
@@ -190,7 +190,7 @@
 			c.fail(x, errTooManyStreams)
 			return false
 		}
-		reply.BodyRest = &streamedBody{ReadCloser: resp.Body, conn: c, claim: claim}
+		reply.BodyRest = &streamedBody{ReadCloser: resp.Body, conn: c, claim: claim, deadline: x.deadline}
 		x.done <- result{reply: reply, meta: meta}
 		// The receiver of the reply reads the rest of the body and closes the
 		// connection afterwards.
@@ -274,18 +274,3 @@
 	}
 	return defaultIdleTimeout
 }
-
-// streamedBody is the rest of a large body. The connection is not reused.
-type streamedBody struct {
-	io.ReadCloser
-	conn  *conn
-	claim *space.Claim
-}
-
-// Close implements io.Closer. It closes the connection.
-func (r *streamedBody) Close() error {
-	r.claim.Release()
-	r.conn.shut()
-	r.conn.pool.remove(r.conn)
-	return nil
-}
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -106,6 +106,7 @@
 	start := p.cfg.Timer.Now()
 	header := p.cfg.Dialect.RequestHeader(c, f)
 	x := &exchange{requestID: c.RequestID, request: &http.Request{Method: c.Method}, written: make(chan struct{}), done: make(chan result, 1)}
+	x.deadline, _ = ctx.Deadline()
 	if c.BodyRest != nil {
 		x.stopBody = c.BodyRest.Stop
 	}
--- a/io/front/order_test.go
+++ b/io/front/order_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,3 +86,40 @@
 		})
 	}
 }
+
+// waitingBody is a body whose Read waits for Close.
+type waitingBody struct {
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (b *waitingBody) Read([]byte) (int, error) {
+	<-b.closed
+	return 0, net.ErrClosed
+}
+
+func (b *waitingBody) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return nil
+}
+
+// Guards against a connection that stays, with that to the server, after its caller has
+// left in the middle of a long answer: the server sends nothing more and does not close.
+func TestDisconnectEndsTheWaitForALongAnswer(t *testing.T) {
+	body := &waitingBody{closed: make(chan struct{})}
+	ts := newTestServer(t, core.Limits{}, func(context.Context, *core.Call) *core.Reply {
+		return &core.Reply{Status: 200, Header: http.Header{}, Body: []byte("first"), BodyRest: body, ContentLength: 20}
+	})
+	c, reader := ts.dial(t)
+	_, err := io.WriteString(c, getRequest("/"))
+	require.NoError(t, err)
+	_, err = reader.ReadString('t') // of "first"
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	select {
+	case <-ts.ends:
+	case <-time.After(waitTimeout):
+		require.Fail(t, "connection has not ended")
+	}
+	<-body.closed
+}
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -154,8 +155,11 @@
 	return err
 }
 
-// streamRest writes the rest of a body. It fails if the rest is truncated.
+// streamRest writes the rest of a body. It fails if the rest is truncated. A caller that
+// disconnects ends the wait for it.
 func (c *conn) streamRest(r *core.Reply, write func([]byte) error) error {
+	stop := context.AfterFunc(c.ctx, func() { _ = r.BodyRest.Close() })
+	defer stop()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := r.BodyRest.Read(buffer)
