--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,7 @@
 	seed  uint64
 	cause string
 }{
+	{3881714795, "the stand-in of the store lost a write for good if a return came between another one and its second writing"},
 	{2687768337, "the check of limits read a server that waited, while the store returned, to write its first entry"},
 }
 
